--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 CC ?= gcc
 CXX ?= g++
-LIBS := libevent evhtp libzmq glib-2.0 libsodium libxxhash libzstd libprotobuf-c
+LIBS := libevent evhtp libzmq glib-2.0 json-glib-1.0 libsodium libxxhash libzstd libprotobuf-c
 PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS) 2>/dev/null)
 PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lpthread
 
