Add request keys, decider, executor, coordinator and retry

The decider holds one record per issued key, the executor one per (key, attempt), and the coordinator turns arrivals, replies and timeouts into actions.

Two signatures of coordinator.h change: eel_coordinator_replied and eel_coordinator_sealed take the incarnation of the executor that sent the message. Without it, a restarted executor that seals an attempt it never saw would let the decider say "not run" of a request that the earlier incarnation ran.

A sealed key has one successor, held with its record, so that two copies told "not run" cannot become two orders. A refusal by a full executor table is recorded in a reserved eighth of it, because an unrecorded refusal does not bind a second copy of the message.

--- a/include/eelgrasslatch/coordinator.h
+++ b/include/eelgrasslatch/coordinator.h
@@ -21,6 +21,10 @@
   int64_t deadline_us;
   uint32_t record;
   uint32_t next;
+  /* Spare attempts that the copy brought, given back with its answer. */
+  uint8_t lent;
+  /* The record holds the attempts of this copy (first copy of a child). */
+  uint8_t owns_spare;
 };
 
 /* An order whose outcome is open. */
@@ -31,8 +35,11 @@
   /* When the next step is due without an event: seal, or give up. */
   int64_t due_us;
   uint8_t sealing;
-  uint8_t spare;
+  /* Spare attempts lent to the outstanding attempt. */
   uint8_t lent;
+  /* The outcome is known; waiters are being answered. */
+  uint8_t finished;
+  enum eel_outcome outcome;
   enum eel_error last_error;
   uint32_t first_waiter;
 };
@@ -47,6 +54,10 @@
   uint32_t waiter_capacity;
   uint32_t waiter_free;
   int64_t seal_timeout_us;
+  /* Lifetime of successor keys; init sets 120 s. */
+  int64_t key_life_us;
+  uint8_t draining;
+  /* Per answered copy. */
   uint64_t outcomes[EEL_OUTCOME_COUNT];
   uint64_t unknown_by_error[EEL_ERROR_COUNT];
 };
@@ -75,6 +86,9 @@
   enum eel_error error;
   enum eel_outcome outcome;
   enum eel_retry_advice retry;
+  /* ANSWER with outcome not run: the key to use next (Eel-Next-Key). */
+  uint8_t has_next_key;
+  struct eel_key next_key;
   /* ANSWER with outcome ran: the stored bytes, valid until the next call. */
   const uint8_t *answer;
   uint32_t answer_bytes;
@@ -86,6 +100,8 @@
   uint64_t fingerprint;
   uint64_t call_id;
   int64_t deadline_us;
+  /* Lent to this copy by its parent; only for child keys. */
+  uint8_t spare;
 };
 
 enum eel_attempt_result
@@ -129,10 +145,15 @@
                                        enum eel_error error,
                                        int64_t now_us,
                                        struct eel_action *out);
+/*
+ * executor and executor_incarnation name the sender of the reply.  A refusal
+ * from another incarnation than the one dispatched to counts as unknown.
+ */
 size_t eel_coordinator_replied (struct eel_coordinator *coordinator,
                                 const struct eel_key *key,
                                 uint8_t attempt,
                                 uint32_t executor,
+                                uint64_t executor_incarnation,
                                 enum eel_attempt_result result,
                                 enum eel_error error,
                                 uint8_t unused_spare,
@@ -140,11 +161,15 @@
                                 uint32_t answer_bytes,
                                 int64_t now_us,
                                 struct eel_action *out);
-/* The executor's answer to a seal action. */
+/*
+ * The executor's answer to a seal action, with the incarnation that sent it:
+ * a seal by a restarted executor says nothing about the one before.
+ */
 size_t eel_coordinator_sealed (struct eel_coordinator *coordinator,
                                const struct eel_key *key,
                                uint8_t attempt,
                                uint32_t executor,
+                               uint64_t executor_incarnation,
                                enum eel_executor_state state,
                                int64_t now_us,
                                struct eel_action *out);
--- a/include/eelgrasslatch/execution.h
+++ b/include/eelgrasslatch/execution.h
@@ -36,9 +36,22 @@
   uint64_t executor_incarnation;
   /* Index of the stored answer, or UINT32_MAX. */
   uint32_t answer;
+  /* Index of the coordinator's open order, or UINT32_MAX. */
+  uint32_t pending;
+  /* Record of the key that follows this one after "not run". */
+  uint32_t successor;
+  uint64_t successor_serial;
   uint32_t next;
 };
 
+/*
+ * A record of an unresolved attempt is dropped this long after its key's
+ * expiry, so that executors that never come back cannot exhaust the table.
+ * By then every copy is refused as expired; members are forgotten after the
+ * same time.
+ */
+#define EEL_DECIDER_LINGER_US (INT64_C (600) * 1000 * 1000)
+
 struct eel_answer_slot
 {
   uint32_t record;
@@ -141,6 +154,16 @@
                           struct eel_decider_record *record);
 enum eel_error eel_decider_seal (struct eel_decider *decider,
                                  struct eel_decider_record *record);
+/*
+ * Gives the key that follows a sealed root key, with the spare attempts that
+ * are left less one.  Every copy of the sealed key gets the same successor,
+ * so that two copies cannot become two orders.
+ */
+enum eel_error eel_decider_successor (struct eel_decider *decider,
+                                      struct eel_decider_record *record,
+                                      int64_t life_us,
+                                      int64_t now_us,
+                                      struct eel_key *key);
 const uint8_t *eel_decider_answer (const struct eel_decider *decider,
                                    const struct eel_decider_record *record,
                                    uint32_t *bytes);
@@ -179,13 +202,26 @@
   uint32_t *buckets;
   uint32_t bucket_count;
   uint32_t free_list;
+  uint32_t free_count;
   uint32_t expire_cursor;
   uint64_t refused_full;
 };
 
+/*
+ * Records are kept this long past valid-until.  Meanwhile an attempt without
+ * a record has certainly not run here; after that nothing is known of it.
+ */
+#define EEL_EXECUTOR_KEEP_US (INT64_C (30) * 1000 * 1000)
+
+/*
+ * LATE, SEALED and FULL are certain: the decider is answered "refused".
+ * OTHER_INCARNATION is answered "unknown", because the earlier incarnation
+ * may have run another copy.  DUPLICATE is not answered.
+ */
 enum eel_accept
 {
   EEL_ACCEPT_OK,
+  /* Accepted before, or no longer known whether it was. */
   EEL_ACCEPT_DUPLICATE,
   EEL_ACCEPT_LATE,
   EEL_ACCEPT_OTHER_INCARNATION,
@@ -200,6 +236,10 @@
                         uint32_t *buckets,
                         uint32_t bucket_count);
 void eel_executor_finish (struct eel_executor *executor);
+/*
+ * Call it first of all for an execute message: an attempt that is refused
+ * without a record could be accepted later from a second copy.
+ */
 enum eel_accept eel_executor_accept (struct eel_executor *executor,
                                      const struct eel_key *key,
                                      uint8_t attempt,
@@ -215,9 +255,18 @@
                         const struct eel_key *key,
                         uint8_t attempt);
 /*
+ * The attempt certainly did not run: refused in the queue, not sent, or
+ * refused by the upstream.  A later seal finds it sealed.
+ */
+void eel_executor_not_run (struct eel_executor *executor,
+                           const struct eel_key *key,
+                           uint8_t attempt);
+/*
+ * valid_until_us must not be before the one sent with the attempt.
  * Makes a later start of the attempt impossible.  Returns the state that the
  * record has then: sealed when it had not started, else running or done.
- * EEL_EXECUTOR_FREE means that the table was full and nothing was sealed.
+ * EEL_EXECUTOR_FREE means that nothing was sealed: the table was full, or the
+ * record of the attempt may have been dropped.
  */
 enum eel_executor_state eel_executor_seal (struct eel_executor *executor,
                                            const struct eel_key *key,
--- /dev/null
+++ b/src/execution/coordinator.c
@@ -0,0 +1,270 @@
+#include "eelgrasslatch/coordinator.h"
+
+#include <string.h>
+
+#include "eelgrasslatch/retry.h"
+#include "eelgrasslatch/types.h"
+#include "execution/pending.h"
+
+#define KEY_LIFE_US (120 * EEL_US_PER_S)
+
+/* Takes over the decider's tables by copying its struct. */
+void
+eel_coordinator_init (struct eel_coordinator *coordinator,
+                      const struct eel_decider *decider,
+                      struct eel_pending *pending,
+                      uint32_t pending_capacity,
+                      struct eel_waiter *waiters,
+                      uint32_t waiter_capacity,
+                      int64_t seal_timeout_us)
+{
+  memset (coordinator, 0, sizeof *coordinator);
+  coordinator->decider = *decider;
+  coordinator->pending = pending;
+  coordinator->pending_capacity = pending_capacity;
+  coordinator->waiters = waiters;
+  coordinator->waiter_capacity = waiter_capacity;
+  coordinator->seal_timeout_us = seal_timeout_us;
+  coordinator->key_life_us = KEY_LIFE_US;
+  coordinator->waiter_free = EEL_INDEX_NONE;
+  for (uint32_t i = waiter_capacity; i-- > 0;)
+    {
+      waiters[i] = (struct eel_waiter){ .record = EEL_INDEX_NONE,
+                                        .next = coordinator->waiter_free };
+      coordinator->waiter_free = i;
+    }
+}
+
+/* Finishes the decider that init took over. */
+void
+eel_coordinator_finish (struct eel_coordinator *coordinator)
+{
+  eel_decider_finish (&coordinator->decider);
+}
+
+/* Error kind of a verdict that refuses a copy. */
+static enum eel_error
+verdict_error (enum eel_verdict verdict)
+{
+  switch (verdict)
+    {
+    case EEL_VERDICT_ANSWER:
+    case EEL_VERDICT_RUN:
+      return EEL_OK;
+    case EEL_VERDICT_WAIT:
+      return EEL_ERROR_IN_PROGRESS;
+    case EEL_VERDICT_ANSWER_GONE:
+      return EEL_ERROR_ANSWER_GONE;
+    case EEL_VERDICT_NOT_RUN:
+      return EEL_ERROR_SEALED;
+    case EEL_VERDICT_UNKNOWN:
+      return EEL_ERROR_OUTCOME_UNKNOWN;
+    case EEL_VERDICT_EXPIRED:
+      return EEL_ERROR_KEY_EXPIRED;
+    case EEL_VERDICT_OTHER_INCARNATION:
+      return EEL_ERROR_KEY_OTHER_INCARNATION;
+    case EEL_VERDICT_OTHER_ISSUER:
+      return EEL_ERROR_DECIDER_UNREACHABLE;
+    case EEL_VERDICT_INVALID:
+      return EEL_ERROR_KEY_INVALID;
+    case EEL_VERDICT_MISMATCH:
+      return EEL_ERROR_KEY_MISMATCH;
+    case EEL_VERDICT_FULL:
+      return EEL_ERROR_TABLE_FULL;
+    }
+  return EEL_ERROR_INTERNAL;
+}
+
+/* Answers a copy from the error table and gives back what it brought. */
+static void
+refuse (struct eel_coordinator *coordinator,
+        const struct eel_arrival *arrival,
+        enum eel_error error,
+        struct eel_out *out)
+{
+  const struct eel_error_info *info = eel_error_info (error);
+  struct eel_action action = { .kind = EEL_ACTION_ANSWER,
+                               .call_id = arrival->call_id,
+                               .key = arrival->key,
+                               .spare = arrival->spare,
+                               .error = error,
+                               .outcome = info->outcome,
+                               .retry = info->retry };
+
+  eel_out_answer (coordinator, out, &action);
+}
+
+/* A resend of a key costs one of the spare attempts of its record. */
+static void
+charge_resend (struct eel_decider_record *record)
+{
+  struct eel_ledger ledger = { .spare = record->spare };
+
+  eel_ledger_take (&ledger);
+  record->spare = ledger.spare;
+}
+
+/* Opens the order of a first copy. */
+static void
+open_order (struct eel_coordinator *coordinator,
+            const struct eel_arrival *arrival,
+            struct eel_decider_record *record,
+            int64_t now_us,
+            struct eel_out *out)
+{
+  int is_child = !eel_key_is_root (&record->key);
+  struct eel_pending *pending;
+
+  if (coordinator->waiter_free == EEL_INDEX_NONE)
+    pending = NULL;
+  else
+    pending
+        = eel_pending_open (coordinator, record, arrival->deadline_us, now_us);
+  if (pending == NULL)
+    {
+      refuse (coordinator, arrival, EEL_ERROR_TABLE_FULL, out);
+      return;
+    }
+  if (is_child)
+    record->spare = arrival->spare;
+  eel_pending_wait (coordinator, pending, arrival, is_child);
+  if (coordinator->draining)
+    eel_pending_not_run (coordinator, pending, EEL_ERROR_LEAVING, now_us, out);
+  else if (now_us >= pending->deadline_us)
+    eel_pending_not_run (coordinator, pending, EEL_ERROR_DEADLINE, now_us, out);
+  else
+    eel_pending_execute (coordinator, pending, out);
+}
+
+/*
+ * Lets a copy wait for the outcome.  When the order was given up with its
+ * attempt unresolved, the executor is asked again.
+ */
+static void
+join_order (struct eel_coordinator *coordinator,
+            const struct eel_arrival *arrival,
+            struct eel_decider_record *record,
+            int64_t now_us,
+            struct eel_out *out)
+{
+  struct eel_pending *pending = eel_pending_of (coordinator, record);
+
+  if (pending == NULL && coordinator->waiter_free != EEL_INDEX_NONE)
+    {
+      pending = eel_pending_open (coordinator, record, arrival->deadline_us,
+                                  now_us);
+      if (pending != NULL)
+        {
+          eel_pending_ask_seal (coordinator, pending, out);
+          pending->due_us = now_us + coordinator->seal_timeout_us;
+        }
+    }
+  if (pending == NULL || !eel_pending_wait (coordinator, pending, arrival, 0))
+    refuse (coordinator, arrival, EEL_ERROR_IN_PROGRESS, out);
+}
+
+/* Tells a copy of a finished request its outcome. */
+static void
+repeat_outcome (struct eel_coordinator *coordinator,
+                const struct eel_arrival *arrival,
+                struct eel_decider_record *record,
+                enum eel_verdict verdict,
+                int64_t now_us,
+                struct eel_out *out)
+{
+  enum eel_error error = verdict_error (verdict);
+  struct eel_waiter waiter
+      = { .call_id = arrival->call_id, .lent = arrival->spare };
+
+  eel_coordinator_tell (coordinator, record, &waiter,
+                        eel_error_info (error)->outcome, error, NULL, now_us,
+                        out);
+}
+
+/* A copy of a request has reached its decider. */
+size_t
+eel_coordinator_arrived (struct eel_coordinator *coordinator,
+                         const struct eel_arrival *arrival,
+                         int64_t now_us,
+                         struct eel_action *actions)
+{
+  struct eel_out out = { .actions = actions };
+  struct eel_decider_record *record;
+  enum eel_verdict verdict
+      = eel_decider_begin (&coordinator->decider, &arrival->key,
+                           arrival->fingerprint, now_us, &record);
+
+  switch (verdict)
+    {
+    case EEL_VERDICT_RUN:
+      open_order (coordinator, arrival, record, now_us, &out);
+      break;
+    case EEL_VERDICT_WAIT:
+      charge_resend (record);
+      join_order (coordinator, arrival, record, now_us, &out);
+      break;
+    case EEL_VERDICT_ANSWER:
+    case EEL_VERDICT_ANSWER_GONE:
+    case EEL_VERDICT_NOT_RUN:
+    case EEL_VERDICT_UNKNOWN:
+      if (record != NULL)
+        {
+          charge_resend (record);
+          repeat_outcome (coordinator, arrival, record, verdict, now_us, &out);
+          break;
+        }
+      /* fall through */
+    default:
+      refuse (coordinator, arrival, verdict_error (verdict), &out);
+      break;
+    }
+  return out.count;
+}
+
+/*
+ * Checks everything again right before the message is sent: the process may
+ * have been stopped, or the order sealed, since the action was written.
+ */
+enum eel_error
+eel_coordinator_dispatched (struct eel_coordinator *coordinator,
+                            const struct eel_key *key,
+                            uint8_t attempt,
+                            uint32_t executor,
+                            uint64_t executor_incarnation,
+                            int64_t now_us)
+{
+  struct eel_decider_record *record
+      = eel_decider_find (&coordinator->decider, key);
+  const struct eel_pending *pending = eel_pending_of (coordinator, record);
+
+  if (pending == NULL || pending->finished
+      || attempt != (uint8_t)(record->attempt + 1))
+    return EEL_ERROR_SEALED;
+  if (now_us >= pending->deadline_us)
+    return EEL_ERROR_DEADLINE;
+  return eel_decider_dispatch (&coordinator->decider, record, executor,
+                               executor_incarnation, now_us);
+}
+
+/* No executor took the attempt, so it will not run: answers "not run". */
+size_t
+eel_coordinator_not_dispatched (struct eel_coordinator *coordinator,
+                                const struct eel_key *key,
+                                uint8_t attempt,
+                                enum eel_error error,
+                                int64_t now_us,
+                                struct eel_action *actions)
+{
+  struct eel_out out = { .actions = actions };
+  struct eel_decider_record *record
+      = eel_decider_find (&coordinator->decider, key);
+  struct eel_pending *pending = eel_pending_of (coordinator, record);
+
+  if (pending == NULL || pending->finished || record->state != EEL_DECIDER_OPEN
+      || attempt != (uint8_t)(record->attempt + 1))
+    return 0;
+  record->spare = (uint8_t)(record->spare + pending->lent);
+  pending->lent = 0;
+  eel_pending_not_run (coordinator, pending, error, now_us, &out);
+  return out.count;
+}
--- /dev/null
+++ b/src/execution/coordinator_answer.c
@@ -0,0 +1,122 @@
+#include <string.h>
+
+#include "execution/pending.h"
+
+/* Adds an action; the caller has checked that there is room. */
+struct eel_action *
+eel_out_add (struct eel_out *out,
+             enum eel_action_kind kind,
+             const struct eel_key *key)
+{
+  struct eel_action *action = &out->actions[out->count++];
+
+  memset (action, 0, sizeof *action);
+  action->kind = kind;
+  action->key = *key;
+  return action;
+}
+
+/* Adds an answer and counts its outcome. */
+void
+eel_out_answer (struct eel_coordinator *coordinator,
+                struct eel_out *out,
+                const struct eel_action *answer)
+{
+  out->actions[out->count++] = *answer;
+  coordinator->outcomes[answer->outcome]++;
+  if (answer->outcome == EEL_OUTCOME_UNKNOWN)
+    coordinator->unknown_by_error[answer->error]++;
+}
+
+/* Points the answer to the bytes of the request's result. */
+static void
+add_result (const struct eel_coordinator *coordinator,
+            const struct eel_decider_record *record,
+            const struct eel_fresh *fresh,
+            struct eel_action *action)
+{
+  action->answer = eel_decider_answer (&coordinator->decider, record,
+                                       &action->answer_bytes);
+  if (action->answer == NULL && fresh != NULL)
+    {
+      action->answer = fresh->answer;
+      action->answer_bytes = fresh->bytes;
+    }
+  if (action->answer == NULL)
+    action->error = EEL_ERROR_ANSWER_GONE;
+}
+
+/*
+ * Adds the successor of a sealed key.  Without spare attempts there is none,
+ * and a nested call has none: its parent chooses another label.  A leaving
+ * node issues no key; the caller then uses a key of another node.
+ */
+static void
+add_successor (struct eel_coordinator *coordinator,
+               struct eel_decider_record *record,
+               int64_t now_us,
+               struct eel_action *action)
+{
+  enum eel_error error;
+
+  action->retry = EEL_RETRY_NONE;
+  if (!eel_key_is_root (&record->key) || record->spare == 0)
+    return;
+  action->retry = EEL_RETRY_NEW_KEY;
+  if (coordinator->draining)
+    return;
+  error = eel_decider_successor (&coordinator->decider, record,
+                                 coordinator->key_life_us, now_us,
+                                 &action->next_key);
+  action->has_next_key = error == EEL_OK;
+  if (error == EEL_ERROR_KEY_EXPIRED)
+    action->retry = EEL_RETRY_NONE;
+}
+
+/*
+ * An unresolved attempt may still be settled by its executor, so the same key
+ * may be sent again: it is never dispatched again.
+ */
+static enum eel_retry_advice
+unknown_advice (const struct eel_decider_record *record)
+{
+  return record->state == EEL_DECIDER_DISPATCHED ? EEL_RETRY_SAME_KEY
+                                                 : EEL_RETRY_NONE;
+}
+
+/* Tells one copy the outcome of its key. */
+void
+eel_coordinator_tell (struct eel_coordinator *coordinator,
+                      struct eel_decider_record *record,
+                      const struct eel_waiter *waiter,
+                      enum eel_outcome outcome,
+                      enum eel_error error,
+                      const struct eel_fresh *fresh,
+                      int64_t now_us,
+                      struct eel_out *out)
+{
+  struct eel_action action = { .kind = EEL_ACTION_ANSWER,
+                               .call_id = waiter->call_id,
+                               .key = record->key,
+                               .attempt = record->attempt,
+                               .spare = waiter->lent,
+                               .error = error,
+                               .outcome = outcome,
+                               .retry = eel_error_info (error)->retry };
+
+  if (outcome == EEL_OUTCOME_RAN)
+    add_result (coordinator, record, fresh, &action);
+  else if (outcome == EEL_OUTCOME_NOT_RUN)
+    add_successor (coordinator, record, now_us, &action);
+  else if (outcome == EEL_OUTCOME_UNKNOWN)
+    action.retry = unknown_advice (record);
+  if (eel_key_is_root (&record->key))
+    action.spare = record->spare;
+  else if (waiter->owns_spare)
+    {
+      /* What is left goes back to the parent, so it is not held here too. */
+      action.spare = record->spare;
+      record->spare = 0;
+    }
+  eel_out_answer (coordinator, out, &action);
+}
--- /dev/null
+++ b/src/execution/decider.c
@@ -0,0 +1,300 @@
+#include <string.h>
+
+#include "execution/table.h"
+
+/* Puts records [from, to) on a free list and returns its head. */
+static uint32_t
+link_free (struct eel_decider *decider, uint32_t from, uint32_t to)
+{
+  uint32_t head = EEL_INDEX_NONE;
+
+  for (uint32_t i = to; i-- > from;)
+    {
+      memset (&decider->records[i], 0, sizeof decider->records[i]);
+      decider->records[i].next = head;
+      head = i;
+    }
+  return head;
+}
+
+/* Starts with empty tables in the caller's arrays. */
+void
+eel_decider_init (struct eel_decider *decider,
+                  uint32_t node,
+                  uint64_t incarnation,
+                  const uint8_t secret[EEL_KEY_SECRET_BYTES],
+                  const struct eel_decider_storage *storage)
+{
+  uint32_t total = storage->root_capacity + storage->child_capacity;
+
+  memset (decider, 0, sizeof *decider);
+  decider->node = node;
+  decider->incarnation = incarnation;
+  memcpy (decider->secret, secret, EEL_KEY_SECRET_BYTES);
+  decider->records = storage->records;
+  decider->root_capacity = storage->root_capacity;
+  decider->child_capacity = storage->child_capacity;
+  decider->buckets = storage->buckets;
+  decider->bucket_count = storage->bucket_count;
+  decider->answers = storage->answers;
+  decider->answer_capacity = storage->answer_capacity;
+  decider->answer_bytes_max = storage->answer_bytes_max;
+  decider->free_roots = link_free (decider, 0, storage->root_capacity);
+  decider->free_children = link_free (decider, storage->root_capacity, total);
+  for (uint32_t i = 0; i < decider->bucket_count; i++)
+    decider->buckets[i] = EEL_INDEX_NONE;
+  eel_decider_init_answers (decider);
+  decider->next_serial = 1;
+}
+
+/* Frees the stored answers. */
+void
+eel_decider_finish (struct eel_decider *decider)
+{
+  uint32_t total = decider->root_capacity + decider->child_capacity;
+
+  for (uint32_t i = 0; i < total; i++)
+    if (decider->records[i].state != EEL_DECIDER_FREE)
+      eel_decider_drop_answer (decider, &decider->records[i]);
+}
+
+/* Takes a free record for a key and enters it into its bucket. */
+static struct eel_decider_record *
+insert (struct eel_decider *decider,
+        uint32_t *free_list,
+        const struct eel_key *key)
+{
+  uint32_t index = *free_list;
+  uint32_t *bucket
+      = &decider->buckets[eel_key_bucket (key, decider->bucket_count)];
+  struct eel_decider_record *record;
+
+  if (index == EEL_INDEX_NONE)
+    return NULL;
+  record = &decider->records[index];
+  *free_list = record->next;
+  *record = (struct eel_decider_record){ .key = *key,
+                                         .state = EEL_DECIDER_ISSUED,
+                                         .spare = key->spare,
+                                         .answer = EEL_INDEX_NONE,
+                                         .pending = EEL_INDEX_NONE,
+                                         .successor = EEL_INDEX_NONE,
+                                         .next = *bucket };
+  *bucket = index;
+  return record;
+}
+
+/* Issues a root key with a reserved record. */
+enum eel_error
+eel_decider_issue (struct eel_decider *decider,
+                   uint8_t spare,
+                   int64_t life_us,
+                   int64_t now_us,
+                   struct eel_key *key)
+{
+  *key = (struct eel_key){ .issuer = decider->node,
+                           .incarnation = decider->incarnation,
+                           .expiry_us = now_us + life_us,
+                           .serial = decider->next_serial,
+                           .spare = spare };
+  eel_key_sign (key, decider->secret);
+  if (insert (decider, &decider->free_roots, key) == NULL)
+    {
+      decider->issue_refused++;
+      return EEL_ERROR_KEYS_EXHAUSTED;
+    }
+  decider->next_serial++;
+  decider->issued++;
+  return EEL_OK;
+}
+
+/* Returns the record of a key, or NULL. */
+struct eel_decider_record *
+eel_decider_find (struct eel_decider *decider, const struct eel_key *key)
+{
+  uint32_t index
+      = decider->buckets[eel_key_bucket (key, decider->bucket_count)];
+
+  while (index != EEL_INDEX_NONE)
+    {
+      struct eel_decider_record *record = &decider->records[index];
+
+      if (eel_key_equal (&record->key, key))
+        return record;
+      index = record->next;
+    }
+  return NULL;
+}
+
+/* Returns what a terminal or running record says to another copy. */
+static enum eel_verdict
+verdict_of (const struct eel_decider_record *record)
+{
+  switch ((enum eel_decider_state)record->state)
+    {
+    case EEL_DECIDER_RAN:
+      return record->answer == EEL_INDEX_NONE ? EEL_VERDICT_ANSWER_GONE
+                                              : EEL_VERDICT_ANSWER;
+    case EEL_DECIDER_SEALED:
+      return EEL_VERDICT_NOT_RUN;
+    case EEL_DECIDER_UNKNOWN:
+      return EEL_VERDICT_UNKNOWN;
+    case EEL_DECIDER_DISPATCHED:
+    case EEL_DECIDER_OPEN:
+    case EEL_DECIDER_ISSUED:
+    case EEL_DECIDER_FREE:
+      break;
+    }
+  return EEL_VERDICT_WAIT;
+}
+
+/* Returns 1 when nothing was dispatched and no open order holds the record. */
+static int
+may_start (const struct eel_decider_record *record)
+{
+  return record->state == EEL_DECIDER_ISSUED
+         || (record->state == EEL_DECIDER_OPEN
+             && record->pending == EEL_INDEX_NONE);
+}
+
+/* Checks what the key itself says. */
+static enum eel_verdict
+check_key (const struct eel_decider *decider, const struct eel_key *key)
+{
+  if (key->issuer != decider->node)
+    return EEL_VERDICT_OTHER_ISSUER;
+  if (!eel_key_verify (key, decider->secret))
+    return EEL_VERDICT_INVALID;
+  if (key->incarnation != decider->incarnation)
+    return EEL_VERDICT_OTHER_INCARNATION;
+  return EEL_VERDICT_RUN;
+}
+
+/*
+ * Decides about a copy of a request.  With EEL_VERDICT_RUN the record is
+ * open and the copy is the one that runs.  The outcome of an expired key is
+ * still told while its record is held, but an expired key is never run.
+ */
+enum eel_verdict
+eel_decider_begin (struct eel_decider *decider,
+                   const struct eel_key *key,
+                   uint64_t fingerprint,
+                   int64_t now_us,
+                   struct eel_decider_record **record)
+{
+  enum eel_verdict verdict = check_key (decider, key);
+  int expired = now_us >= key->expiry_us;
+  struct eel_decider_record *found;
+
+  *record = NULL;
+  if (verdict != EEL_VERDICT_RUN)
+    return verdict;
+  found = eel_decider_find (decider, key);
+  if (expired && (found == NULL || may_start (found)))
+    return EEL_VERDICT_EXPIRED;
+  if (found == NULL)
+    {
+      if (eel_key_is_root (key))
+        return EEL_VERDICT_UNKNOWN;
+      found = insert (decider, &decider->free_children, key);
+      if (found == NULL)
+        return EEL_VERDICT_FULL;
+    }
+  *record = found;
+  if (found->state != EEL_DECIDER_ISSUED && found->fingerprint != fingerprint)
+    return EEL_VERDICT_MISMATCH;
+  if (!may_start (found))
+    return verdict_of (found);
+  found->fingerprint = fingerprint;
+  found->state = EEL_DECIDER_OPEN;
+  return EEL_VERDICT_RUN;
+}
+
+/* Marks an attempt dispatched; the message may be sent only on EEL_OK. */
+enum eel_error
+eel_decider_dispatch (struct eel_decider *decider,
+                      struct eel_decider_record *record,
+                      uint32_t executor,
+                      uint64_t executor_incarnation,
+                      int64_t now_us)
+{
+  (void)decider;
+  if (record->state == EEL_DECIDER_SEALED)
+    return EEL_ERROR_SEALED;
+  if (record->state != EEL_DECIDER_OPEN)
+    return EEL_ERROR_IN_PROGRESS;
+  if (now_us >= record->key.expiry_us)
+    return EEL_ERROR_KEY_EXPIRED;
+  if (record->attempt == UINT8_MAX)
+    return EEL_ERROR_ATTEMPTS_SPENT;
+  record->attempt++;
+  record->state = EEL_DECIDER_DISPATCHED;
+  record->executor = executor;
+  record->executor_incarnation = executor_incarnation;
+  return EEL_OK;
+}
+
+/* Opens the record again after its outstanding attempt was refused. */
+void
+eel_decider_attempt_refused (struct eel_decider *decider,
+                             struct eel_decider_record *record,
+                             uint8_t attempt)
+{
+  (void)decider;
+  if (attempt == record->attempt
+      && (record->state == EEL_DECIDER_DISPATCHED
+          || record->state == EEL_DECIDER_UNKNOWN))
+    record->state = EEL_DECIDER_OPEN;
+}
+
+/* The request ran; keeps its answer. */
+void
+eel_decider_ran (struct eel_decider *decider,
+                 struct eel_decider_record *record,
+                 const uint8_t *answer,
+                 uint32_t answer_bytes)
+{
+  if (record->state != EEL_DECIDER_DISPATCHED
+      && record->state != EEL_DECIDER_UNKNOWN)
+    return;
+  record->state = EEL_DECIDER_RAN;
+  eel_decider_store_answer (decider, record, answer, answer_bytes);
+}
+
+/* The dispatched attempt may have run and nobody can tell any more. */
+void
+eel_decider_unknown (struct eel_decider *decider,
+                     struct eel_decider_record *record)
+{
+  (void)decider;
+  if (record->state == EEL_DECIDER_DISPATCHED)
+    record->state = EEL_DECIDER_UNKNOWN;
+}
+
+/*
+ * Closes the key, so that no copy can run.  Refused while an attempt may be
+ * running or has run.
+ */
+enum eel_error
+eel_decider_seal (struct eel_decider *decider,
+                  struct eel_decider_record *record)
+{
+  (void)decider;
+  switch ((enum eel_decider_state)record->state)
+    {
+    case EEL_DECIDER_ISSUED:
+    case EEL_DECIDER_OPEN:
+      record->state = EEL_DECIDER_SEALED;
+      return EEL_OK;
+    case EEL_DECIDER_SEALED:
+      return EEL_OK;
+    case EEL_DECIDER_RAN:
+      return EEL_ERROR_ANSWER_GONE;
+    case EEL_DECIDER_DISPATCHED:
+      return EEL_ERROR_IN_PROGRESS;
+    case EEL_DECIDER_UNKNOWN:
+    case EEL_DECIDER_FREE:
+      break;
+    }
+  return EEL_ERROR_OUTCOME_UNKNOWN;
+}
--- /dev/null
+++ b/src/execution/executor.c
@@ -0,0 +1,260 @@
+#include <string.h>
+
+#include "execution/table.h"
+
+/*
+ * An eighth of the table is kept for sealed records, so that a full table
+ * can still refuse an attempt for certain and answer a seal.
+ */
+#define RESERVE_SHARE 8
+
+/* Starts with an empty table in the caller's arrays. */
+void
+eel_executor_init (struct eel_executor *executor,
+                   uint64_t incarnation,
+                   struct eel_executor_record *records,
+                   uint32_t capacity,
+                   uint32_t *buckets,
+                   uint32_t bucket_count)
+{
+  memset (executor, 0, sizeof *executor);
+  executor->incarnation = incarnation;
+  executor->records = records;
+  executor->capacity = capacity;
+  executor->buckets = buckets;
+  executor->bucket_count = bucket_count;
+  executor->free_list = EEL_INDEX_NONE;
+  executor->free_count = capacity;
+  for (uint32_t i = capacity; i-- > 0;)
+    {
+      records[i] = (struct eel_executor_record){ .next = executor->free_list };
+      executor->free_list = i;
+    }
+  for (uint32_t i = 0; i < bucket_count; i++)
+    buckets[i] = EEL_INDEX_NONE;
+}
+
+/* Nothing is owned; the counterpart of init. */
+void
+eel_executor_finish (struct eel_executor *executor)
+{
+  memset (executor, 0, sizeof *executor);
+}
+
+/* Returns the bucket of an attempt. */
+static uint32_t *
+bucket_of (struct eel_executor *executor,
+           const struct eel_key *key,
+           uint8_t attempt)
+{
+  uint32_t bucket
+      = eel_key_bucket (key, executor->bucket_count) ^ (uint32_t)attempt;
+
+  return &executor->buckets[bucket & (executor->bucket_count - 1)];
+}
+
+/* Returns the record of an attempt, or NULL. */
+static struct eel_executor_record *
+find (struct eel_executor *executor, const struct eel_key *key, uint8_t attempt)
+{
+  uint32_t index = *bucket_of (executor, key, attempt);
+
+  while (index != EEL_INDEX_NONE)
+    {
+      struct eel_executor_record *record = &executor->records[index];
+
+      if (record->attempt == attempt && eel_key_equal (&record->key, key))
+        return record;
+      index = record->next;
+    }
+  return NULL;
+}
+
+/* Enters a record; the caller has checked that one is free. */
+static void
+insert (struct eel_executor *executor,
+        const struct eel_key *key,
+        uint8_t attempt,
+        int64_t valid_until_us,
+        enum eel_executor_state state)
+{
+  uint32_t *bucket = bucket_of (executor, key, attempt);
+  uint32_t index = executor->free_list;
+  struct eel_executor_record *record = &executor->records[index];
+
+  executor->free_list = record->next;
+  executor->free_count--;
+  *record = (struct eel_executor_record){ .key = *key,
+                                          .valid_until_us = valid_until_us,
+                                          .attempt = attempt,
+                                          .state = state,
+                                          .next = *bucket };
+  *bucket = index;
+}
+
+/* Returns what a second copy of a recorded attempt is told. */
+static enum eel_accept
+accept_again (const struct eel_executor_record *record)
+{
+  return record->state == EEL_EXECUTOR_SEALED ? EEL_ACCEPT_SEALED
+                                              : EEL_ACCEPT_DUPLICATE;
+}
+
+/*
+ * Accepts an attempt once.  A full table refuses with a sealed record from
+ * its reserve; without even that the message is dropped as a duplicate,
+ * because a refusal that is not recorded would not bind a later copy.
+ */
+enum eel_accept
+eel_executor_accept (struct eel_executor *executor,
+                     const struct eel_key *key,
+                     uint8_t attempt,
+                     int64_t valid_until_us,
+                     uint64_t incarnation,
+                     int64_t now_us)
+{
+  const struct eel_executor_record *record;
+
+  if (incarnation != executor->incarnation)
+    return EEL_ACCEPT_OTHER_INCARNATION;
+  record = find (executor, key, attempt);
+  if (record != NULL)
+    return accept_again (record);
+  if (now_us >= valid_until_us)
+    return now_us - valid_until_us < EEL_EXECUTOR_KEEP_US
+               ? EEL_ACCEPT_LATE
+               : EEL_ACCEPT_DUPLICATE;
+  if (executor->free_count > executor->capacity / RESERVE_SHARE)
+    {
+      insert (executor, key, attempt, valid_until_us, EEL_EXECUTOR_ACCEPTED);
+      return EEL_ACCEPT_OK;
+    }
+  executor->refused_full++;
+  if (executor->free_count == 0)
+    return EEL_ACCEPT_DUPLICATE;
+  insert (executor, key, attempt, valid_until_us, EEL_EXECUTOR_SEALED);
+  return EEL_ACCEPT_FULL;
+}
+
+/*
+ * Marks an accepted attempt running after checking its validity again: the
+ * process may have been stopped while the attempt waited in the queue.
+ */
+enum eel_accept
+eel_executor_start (struct eel_executor *executor,
+                    const struct eel_key *key,
+                    uint8_t attempt,
+                    int64_t now_us)
+{
+  struct eel_executor_record *record = find (executor, key, attempt);
+
+  if (record == NULL)
+    return EEL_ACCEPT_LATE;
+  if (record->state != EEL_EXECUTOR_ACCEPTED)
+    return accept_again (record);
+  if (now_us >= record->valid_until_us)
+    {
+      record->state = EEL_EXECUTOR_SEALED;
+      return EEL_ACCEPT_LATE;
+    }
+  record->state = EEL_EXECUTOR_RUNNING;
+  return EEL_ACCEPT_OK;
+}
+
+/* The attempt has ended, with an answer or without. */
+void
+eel_executor_done (struct eel_executor *executor,
+                   const struct eel_key *key,
+                   uint8_t attempt)
+{
+  struct eel_executor_record *record = find (executor, key, attempt);
+
+  if (record != NULL && record->state == EEL_EXECUTOR_RUNNING)
+    record->state = EEL_EXECUTOR_DONE;
+}
+
+/* The attempt certainly did not run and is sealed. */
+void
+eel_executor_not_run (struct eel_executor *executor,
+                      const struct eel_key *key,
+                      uint8_t attempt)
+{
+  struct eel_executor_record *record = find (executor, key, attempt);
+
+  if (record != NULL
+      && (record->state == EEL_EXECUTOR_ACCEPTED
+          || record->state == EEL_EXECUTOR_RUNNING))
+    record->state = EEL_EXECUTOR_SEALED;
+}
+
+/*
+ * Seals an attempt that has not started.  One that was never seen gets a
+ * sealed record; past the time for which records are kept it may have run
+ * and been forgotten, so nothing is said of it.
+ */
+enum eel_executor_state
+eel_executor_seal (struct eel_executor *executor,
+                   const struct eel_key *key,
+                   uint8_t attempt,
+                   int64_t valid_until_us,
+                   int64_t now_us)
+{
+  struct eel_executor_record *record = find (executor, key, attempt);
+
+  if (record != NULL)
+    {
+      if (record->state == EEL_EXECUTOR_ACCEPTED)
+        record->state = EEL_EXECUTOR_SEALED;
+      return (enum eel_executor_state)record->state;
+    }
+  if (now_us - valid_until_us >= EEL_EXECUTOR_KEEP_US
+      || executor->free_count == 0)
+    return EEL_EXECUTOR_FREE;
+  insert (executor, key, attempt,
+          now_us > valid_until_us ? now_us : valid_until_us,
+          EEL_EXECUTOR_SEALED);
+  return EEL_EXECUTOR_SEALED;
+}
+
+/* Takes a record out of its bucket and frees it. */
+static void
+drop (struct eel_executor *executor, uint32_t index)
+{
+  struct eel_executor_record *record = &executor->records[index];
+  uint32_t *link = bucket_of (executor, &record->key, record->attempt);
+
+  while (*link != index)
+    link = &executor->records[*link].next;
+  *link = record->next;
+  record->state = EEL_EXECUTOR_FREE;
+  record->next = executor->free_list;
+  executor->free_list = index;
+  executor->free_count++;
+}
+
+/*
+ * Drops records past valid-until and the time kept after it; those of
+ * running attempts stay.  Returns the number dropped.
+ */
+uint32_t
+eel_executor_expire (struct eel_executor *executor,
+                     int64_t now_us,
+                     uint32_t scan_max)
+{
+  uint32_t dropped = 0;
+
+  for (uint32_t i = 0; i < scan_max && i < executor->capacity; i++)
+    {
+      uint32_t index = executor->expire_cursor;
+      const struct eel_executor_record *record = &executor->records[index];
+
+      executor->expire_cursor = (index + 1) % executor->capacity;
+      if (record->state == EEL_EXECUTOR_FREE
+          || record->state == EEL_EXECUTOR_RUNNING
+          || now_us - record->valid_until_us < EEL_EXECUTOR_KEEP_US)
+        continue;
+      drop (executor, index);
+      dropped++;
+    }
+  return dropped;
+}
--- /dev/null
+++ b/src/retry/quarantine.c
@@ -0,0 +1,212 @@
+#include "eelgrasslatch/quarantine.h"
+
+/* Starts with an empty table in the caller's array. */
+void
+eel_quarantine_init (struct eel_quarantine *quarantine,
+                     struct eel_quarantine_entry *entries,
+                     uint32_t capacity,
+                     int64_t life_us)
+{
+  *quarantine = (struct eel_quarantine){ .entries = entries,
+                                         .capacity = capacity,
+                                         .life_us = life_us };
+}
+
+/* Nothing is owned; the counterpart of init. */
+void
+eel_quarantine_finish (struct eel_quarantine *quarantine)
+{
+  quarantine->count = 0;
+}
+
+/* Removes an entry; the last one takes its place. */
+static void
+remove_at (struct eel_quarantine *quarantine, uint32_t index)
+{
+  quarantine->entries[index] = quarantine->entries[--quarantine->count];
+}
+
+/* Returns the unexpired entry of a fingerprint, or NULL. */
+static struct eel_quarantine_entry *
+find (struct eel_quarantine *quarantine, uint64_t fingerprint, int64_t now_us)
+{
+  for (uint32_t i = 0; i < quarantine->count; i++)
+    {
+      if (quarantine->entries[i].fingerprint != fingerprint)
+        continue;
+      if (now_us < quarantine->entries[i].expires_us)
+        return &quarantine->entries[i];
+      remove_at (quarantine, i);
+      return NULL;
+    }
+  return NULL;
+}
+
+/* Returns the place of the entry that expires first, expired ones included. */
+static uint32_t
+oldest (const struct eel_quarantine *quarantine)
+{
+  uint32_t best = 0;
+
+  for (uint32_t i = 1; i < quarantine->count; i++)
+    if (quarantine->entries[i].expires_us
+        < quarantine->entries[best].expires_us)
+      best = i;
+  return best;
+}
+
+/* Adds an entry, evicting the oldest at the bound. */
+static struct eel_quarantine_entry *
+add (struct eel_quarantine *quarantine,
+     uint64_t fingerprint,
+     int64_t expires_us,
+     int64_t now_us)
+{
+  struct eel_quarantine_entry *entry;
+
+  if (quarantine->count == quarantine->capacity)
+    {
+      uint32_t index = oldest (quarantine);
+
+      if (quarantine->entries[index].expires_us > now_us)
+        quarantine->evicted++;
+      remove_at (quarantine, index);
+    }
+  entry = &quarantine->entries[quarantine->count++];
+  *entry = (struct eel_quarantine_entry){ .fingerprint = fingerprint,
+                                          .expires_us = expires_us,
+                                          .state = EEL_QUARANTINE_SUSPECT };
+  return entry;
+}
+
+/* Returns what is known of a fingerprint. */
+enum eel_quarantine_state
+eel_quarantine_check (struct eel_quarantine *quarantine,
+                      uint64_t fingerprint,
+                      int64_t now_us)
+{
+  const struct eel_quarantine_entry *entry
+      = find (quarantine, fingerprint, now_us);
+
+  return entry == NULL ? EEL_QUARANTINE_NONE
+                       : (enum eel_quarantine_state)entry->state;
+}
+
+/*
+ * Returns 1 and the fingerprint when exactly one of the requests in flight
+ * was a suspect before.  A refused one among them explains the crash by
+ * itself, so no other is blamed.
+ */
+static int
+only_suspect (struct eel_quarantine *quarantine,
+              const uint64_t *fingerprints,
+              size_t count,
+              int64_t now_us,
+              uint64_t *found)
+{
+  size_t suspects = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct eel_quarantine_entry *entry
+          = find (quarantine, fingerprints[i], now_us);
+
+      if (entry == NULL)
+        continue;
+      if (entry->state == EEL_QUARANTINE_REFUSED)
+        return 0;
+      if (suspects == 0 || fingerprints[i] != *found)
+        suspects++;
+      *found = fingerprints[i];
+    }
+  return suspects == 1;
+}
+
+/*
+ * Every request in flight at a crash becomes a suspect.  The only one that
+ * was a suspect already is refused from now on; with several the crash does
+ * not tell which, and they stay suspects.
+ */
+void
+eel_quarantine_crashed (struct eel_quarantine *quarantine,
+                        const uint64_t *fingerprints,
+                        size_t count,
+                        int64_t now_us)
+{
+  uint64_t blamed = 0;
+  int is_blamed
+      = only_suspect (quarantine, fingerprints, count, now_us, &blamed);
+
+  for (size_t i = 0; i < count && quarantine->capacity > 0; i++)
+    {
+      struct eel_quarantine_entry *entry
+          = find (quarantine, fingerprints[i], now_us);
+
+      if (entry == NULL)
+        entry = add (quarantine, fingerprints[i], now_us + quarantine->life_us,
+                     now_us);
+      if (entry->crashes < UINT8_MAX)
+        entry->crashes++;
+      if (is_blamed && entry->fingerprint == blamed)
+        {
+          entry->state = EEL_QUARANTINE_REFUSED;
+          entry->expires_us = now_us + quarantine->life_us;
+        }
+    }
+}
+
+/* A suspect has completed, so it does not crash upstreams. */
+void
+eel_quarantine_cleared (struct eel_quarantine *quarantine, uint64_t fingerprint)
+{
+  for (uint32_t i = 0; i < quarantine->count; i++)
+    if (quarantine->entries[i].fingerprint == fingerprint
+        && quarantine->entries[i].state == EEL_QUARANTINE_SUSPECT)
+      {
+        remove_at (quarantine, i);
+        return;
+      }
+}
+
+/*
+ * Adds a refused fingerprint that another node reported; returns 1 if it is
+ * new here.  The life left is capped at the full one, so that gossip cannot
+ * keep an entry for ever.
+ */
+int
+eel_quarantine_merge (struct eel_quarantine *quarantine,
+                      uint64_t fingerprint,
+                      int64_t remaining_us,
+                      int64_t now_us)
+{
+  struct eel_quarantine_entry *entry;
+
+  if (remaining_us <= 0 || quarantine->capacity == 0)
+    return 0;
+  if (remaining_us > quarantine->life_us)
+    remaining_us = quarantine->life_us;
+  entry = find (quarantine, fingerprint, now_us);
+  if (entry != NULL && entry->state == EEL_QUARANTINE_REFUSED)
+    return 0;
+  if (entry == NULL)
+    entry = add (quarantine, fingerprint, now_us + remaining_us, now_us);
+  entry->state = EEL_QUARANTINE_REFUSED;
+  entry->expires_us = now_us + remaining_us;
+  return 1;
+}
+
+/* Copies up to max refused entries that have not expired. */
+size_t
+eel_quarantine_refused (struct eel_quarantine *quarantine,
+                        struct eel_quarantine_entry *out,
+                        size_t max,
+                        int64_t now_us)
+{
+  size_t count = 0;
+
+  for (uint32_t i = 0; i < quarantine->count && count < max; i++)
+    if (quarantine->entries[i].state == EEL_QUARANTINE_REFUSED
+        && now_us < quarantine->entries[i].expires_us)
+      out[count++] = quarantine->entries[i];
+  return count;
+}
