Add admission and routing decisions

The node needs both before its call path can be written. Admission keeps an adaptive limit at or below the slots: a rise of latency lowers the limit only for one window, and the lower value stays only if latency follows it, so that an upstream that is itself slower keeps its slots. Routing judges an endpoint against its peers and ejects it only when the others reply well in the same time, so that a slow service behind all of them ejects nobody.

Both headers keep their signatures; structs have additional fields.

--- a/include/eelgrasslatch/admission.h
+++ b/include/eelgrasslatch/admission.h
@@ -58,13 +58,29 @@
   struct eel_work work;
   uint32_t next;
   uint32_t previous;
+  uint8_t list;
 };
 
 struct eel_route_time
 {
   uint32_t route_hash;
   int64_t mean_us;
+  /* Mean absolute deviation. */
+  int64_t deviation_us;
   uint64_t samples;
+  int64_t last_sample_us;
+  int64_t last_trial_us;
+};
+
+/* State of the test whether latency depends on own concurrency. */
+struct eel_limit_probe
+{
+  uint8_t active;
+  double limit_before;
+  double latency_before_us;
+  int64_t started_us;
+  int64_t next_us;
+  int64_t decreased_us;
 };
 
 struct eel_admission
@@ -92,6 +108,24 @@
   uint32_t tails[EEL_CLASS_COUNT * 2];
   uint32_t free_list;
   int64_t above_target_since_us;
+  uint32_t list_queued[EEL_CLASS_COUNT * 2];
+  uint32_t long_queued;
+  /* Lookups and background are refused until then: an order was refused. */
+  int64_t held_until_us;
+  int64_t swept_at_us;
+  struct eel_limit_probe probe;
+  double window_latency_us;
+  /* Mean over all routes and median of service times. */
+  double mean_us;
+  double median_us;
+  /* Offered work in slots, and when each was last decayed. */
+  double demand_short;
+  double demand_long;
+  int64_t demand_at_us;
+  /* Upstream time started lately per caller bucket. */
+  double caller_recent[EEL_ADMISSION_CALLERS];
+  double caller_recent_total;
+  int64_t caller_decayed_at_us;
 };
 
 enum eel_offer
@@ -149,6 +183,9 @@
   uint32_t route_hash;
   double requests[EEL_CLASS_COUNT];
   double accepts[EEL_CLASS_COUNT];
+  /* Ends of admitted requests over a quarter of the window. */
+  double recent_ends;
+  double recent_overloaded;
   int64_t decayed_at_us;
 };
 
--- a/include/eelgrasslatch/routing.h
+++ b/include/eelgrasslatch/routing.h
@@ -34,6 +34,14 @@
   int64_t last_trial_us;
   uint32_t ejections;
   uint32_t consecutive_bad;
+  uint32_t consecutive_good;
+  /* Replies since the first of the bad ones, and those of all then. */
+  uint32_t good_since;
+  uint32_t bad_since;
+  uint64_t all_good_then;
+  uint64_t all_bad_then;
+  /* Last reply, or the send that ended a time without calls in flight. */
+  int64_t progress_at_us;
 };
 
 struct eel_routing_config
@@ -61,6 +69,9 @@
   uint64_t ejections;
   double latency_us;
   double latency_p95_us;
+  double hedge_tokens;
+  uint64_t good_replies;
+  uint64_t bad_replies;
 };
 
 enum eel_reply_kind
--- /dev/null
+++ b/src/admission/admission.c
@@ -0,0 +1,302 @@
+#include "internal/admission.h"
+
+#include <string.h>
+
+/* After an order was refused, lookups are refused for so long. */
+#define HOLD_US EEL_US_PER_S
+/* Late work is searched for in the whole queue this often. */
+#define SWEEP_US (5 * EEL_US_PER_MS)
+
+/* Starts with the limit at the configured slots and an empty queue. */
+void
+eel_admission_init (struct eel_admission *admission,
+                    const struct eel_admission_config *config,
+                    struct eel_admission_queued *queue,
+                    uint32_t queue_capacity,
+                    int64_t now_us)
+{
+  memset (admission, 0, sizeof *admission);
+  admission->config = *config;
+  if (admission->config.slots == 0)
+    admission->config.slots = 1;
+  admission->queue = queue;
+  admission->queue_capacity = queue_capacity;
+  admission->demand_at_us = now_us;
+  admission->caller_decayed_at_us = now_us;
+  eel_queue_init (admission);
+  eel_limit_init (admission, now_us);
+}
+
+/* The queue array belongs to the caller; nothing else is held. */
+void
+eel_admission_finish (struct eel_admission *admission)
+{
+  memset (admission, 0, sizeof *admission);
+}
+
+/* Takes new settings; queued and running work stays. */
+void
+eel_admission_configure (struct eel_admission *admission,
+                         const struct eel_admission_config *config)
+{
+  uint32_t slots_before = admission->config.slots;
+
+  admission->config = *config;
+  if (admission->config.slots == 0)
+    admission->config.slots = 1;
+  if (admission->config.slots == slots_before)
+    return;
+  admission->limit *= (double)admission->config.slots / slots_before;
+  admission->probe.active = 0;
+  if (admission->limit < 1)
+    admission->limit = 1;
+}
+
+static struct eel_offer_result
+refuse (struct eel_admission *admission,
+        const struct eel_work *work,
+        enum eel_error error,
+        int64_t now_us)
+{
+  struct eel_offer_result result = { EEL_OFFER_REFUSED, error, 0 };
+
+  if (error == EEL_ERROR_DEADLINE)
+    admission->dropped_late[work->klass]++;
+  else
+    {
+      admission->shed[work->klass]++;
+      if (work->klass == EEL_CLASS_CRITICAL)
+        admission->held_until_us = now_us + HOLD_US;
+    }
+  return result;
+}
+
+static void
+start (struct eel_admission *admission, struct eel_work *work, int64_t now_us)
+{
+  work->started_us = now_us;
+  work->is_long = (uint8_t)eel_route_is_long (admission, work->route_hash);
+  eel_route_note_start (admission, work, now_us);
+  eel_fair_charge (admission, work, now_us);
+  admission->in_flight++;
+  admission->long_in_flight += work->is_long;
+  admission->started[work->klass]++;
+  if (admission->in_flight > admission->window_in_flight_max)
+    admission->window_in_flight_max = admission->in_flight;
+}
+
+static int
+slot_free (const struct eel_admission *admission)
+{
+  return admission->in_flight < (uint32_t)admission->limit;
+}
+
+/* Returns 1 when the arriving work goes before all that is queued. */
+static int
+starts_now (struct eel_admission *admission,
+            const struct eel_work *work,
+            int64_t now_us)
+{
+  uint32_t next;
+
+  if (!slot_free (admission) || !eel_pick_long_ok (admission, work, now_us))
+    return 0;
+  if (admission->queued == 0)
+    return 1;
+  next = eel_pick (admission, now_us);
+  return next == EEL_ADMISSION_NONE
+         || admission->queue[next].list > eel_queue_list (work);
+}
+
+/* Returns why the work may not be queued, before looking for room. */
+static enum eel_error
+queue_check (const struct eel_admission *admission, const struct eel_work *work)
+{
+  uint32_t max = eel_queue_max (admission);
+
+  if (max == 0)
+    return EEL_ERROR_OVERLOADED;
+  if (work->klass == EEL_CLASS_CRITICAL)
+    {
+      if (eel_queue_below (admission, eel_queue_list (work)) == 0
+          && eel_fair_queue_over (admission, work))
+        return EEL_ERROR_CALLER_LIMIT;
+      return EEL_OK;
+    }
+  if (work->klass == EEL_CLASS_BACKGROUND && admission->queued * 2 >= max)
+    return EEL_ERROR_OVERLOADED;
+  if (work->is_long && admission->long_queued * 2 >= max)
+    return EEL_ERROR_OVERLOADED;
+  if (eel_fair_queue_over (admission, work))
+    return EEL_ERROR_CALLER_LIMIT;
+  return EEL_OK;
+}
+
+static struct eel_offer_result
+enqueue (struct eel_admission *admission,
+         const struct eel_work *work,
+         int64_t now_us)
+{
+  struct eel_offer_result result = { EEL_OFFER_QUEUED, EEL_OK, 0 };
+  enum eel_error error = queue_check (admission, work);
+
+  if (error != EEL_OK && error != EEL_ERROR_CALLER_LIMIT)
+    return refuse (admission, work, error, now_us);
+  if (error != EEL_OK || admission->queued >= eel_queue_max (admission))
+    {
+      const struct eel_work *displaced;
+      uint32_t victim;
+
+      if (error == EEL_OK)
+        {
+          error = EEL_ERROR_OVERLOADED;
+          victim = eel_pick_victim (admission, work, now_us);
+        }
+      else
+        victim = eel_pick_own_victim (admission, work, now_us);
+      if (victim == EEL_ADMISSION_NONE)
+        return refuse (admission, work, error, now_us);
+      displaced = &admission->queue[victim].work;
+      result.displaced_id = displaced->id;
+      refuse (admission, displaced, EEL_ERROR_OVERLOADED, now_us);
+      eel_queue_unlink (admission, victim);
+    }
+  eel_queue_push (admission, work);
+  return result;
+}
+
+/* Decides about arriving work. */
+struct eel_offer_result
+eel_admission_offer (struct eel_admission *admission,
+                     struct eel_work *work,
+                     int64_t now_us)
+{
+  struct eel_offer_result started = { EEL_OFFER_START, EEL_OK, 0 };
+
+  if (work->klass >= EEL_CLASS_COUNT)
+    work->klass = EEL_CLASS_BACKGROUND;
+  work->arrived_us = now_us;
+  work->is_long = (uint8_t)eel_route_is_long (admission, work->route_hash);
+  eel_share_offered (admission, work, now_us);
+  if (eel_route_too_late (admission, work, now_us))
+    return refuse (admission, work, EEL_ERROR_DEADLINE, now_us);
+  if (work->klass != EEL_CLASS_CRITICAL && now_us < admission->held_until_us)
+    return refuse (admission, work, EEL_ERROR_OVERLOADED, now_us);
+  eel_pick_observe (admission, now_us);
+  if (starts_now (admission, work, now_us))
+    {
+      start (admission, work, now_us);
+      return started;
+    }
+  return enqueue (admission, work, now_us);
+}
+
+/* Takes an entry out of the queue as too late. */
+static int
+drop_late (struct eel_admission *admission,
+           uint32_t index,
+           struct eel_work *work,
+           enum eel_error *error,
+           int64_t now_us)
+{
+  *work = admission->queue[index].work;
+  eel_queue_unlink (admission, index);
+  admission->dropped_late[work->klass]++;
+  /* An order that waited was refused by overload, not by its deadline. */
+  if (work->klass == EEL_CLASS_CRITICAL
+      && now_us - work->arrived_us > admission->config.queue_target_us)
+    admission->held_until_us = now_us + HOLD_US;
+  *error = EEL_ERROR_DEADLINE;
+  return 1;
+}
+
+/* Returns an entry that is too late, looking at most once in SWEEP_US. */
+static uint32_t
+sweep (struct eel_admission *admission, int64_t now_us)
+{
+  if (now_us - admission->swept_at_us < SWEEP_US)
+    return EEL_ADMISSION_NONE;
+  for (uint32_t list = 0; list < EEL_ADMISSION_LISTS; list++)
+    for (uint32_t i = admission->heads[list]; i != EEL_ADMISSION_NONE;
+         i = admission->queue[i].next)
+      if (eel_route_too_late (admission, &admission->queue[i].work, now_us))
+        return i;
+  admission->swept_at_us = now_us;
+  return EEL_ADMISSION_NONE;
+}
+
+/* Takes work that may start, or that is too late, out of the queue. */
+int
+eel_admission_next (struct eel_admission *admission,
+                    struct eel_work *work,
+                    enum eel_error *error,
+                    int64_t now_us)
+{
+  uint32_t index;
+
+  *error = EEL_OK;
+  if (admission->queued == 0)
+    return 0;
+  index = sweep (admission, now_us);
+  if (index != EEL_ADMISSION_NONE)
+    return drop_late (admission, index, work, error, now_us);
+  if (!slot_free (admission))
+    return 0;
+  eel_pick_observe (admission, now_us);
+  index = eel_pick (admission, now_us);
+  if (index == EEL_ADMISSION_NONE)
+    return 0;
+  if (eel_route_too_late (admission, &admission->queue[index].work, now_us))
+    return drop_late (admission, index, work, error, now_us);
+  *work = admission->queue[index].work;
+  eel_queue_unlink (admission, index);
+  start (admission, work, now_us);
+  return 1;
+}
+
+/* Removes queued work of a cancelled call. */
+int
+eel_admission_remove (struct eel_admission *admission, uint64_t id)
+{
+  uint32_t index = eel_queue_find (admission, id);
+
+  if (index == EEL_ADMISSION_NONE)
+    return 0;
+  eel_queue_unlink (admission, index);
+  return 1;
+}
+
+/* Gives the slot of started work back and learns from its end. */
+void
+eel_admission_done (struct eel_admission *admission,
+                    const struct eel_work *work,
+                    enum eel_work_result result,
+                    int64_t now_us)
+{
+  if (admission->in_flight > 0)
+    admission->in_flight--;
+  if (work->is_long && admission->long_in_flight > 0)
+    admission->long_in_flight--;
+  eel_route_learn (admission, work, result, now_us);
+  eel_limit_done (admission, work, result, now_us);
+}
+
+/* Fills the load that goes back with each answer. */
+void
+eel_admission_load (const struct eel_admission *admission,
+                    struct eel_load *load)
+{
+  uint32_t max = eel_queue_max (admission);
+  int full = admission->queued >= max;
+
+  memset (load, 0, sizeof *load);
+  load->in_flight = admission->in_flight;
+  load->queued = admission->queued;
+  load->limit = (uint32_t)admission->limit;
+  load->shed_class = EEL_CLASS_COUNT;
+  if (admission->queued * 2 >= max && !slot_free (admission))
+    load->shed_class = EEL_CLASS_BACKGROUND;
+  if (full && !slot_free (admission))
+    load->shed_class = eel_queue_below (admission, 0) > 0 ? EEL_CLASS_LOOKUP
+                                                          : EEL_CLASS_CRITICAL;
+}
--- /dev/null
+++ b/src/admission/queue.c
@@ -0,0 +1,104 @@
+#include "internal/admission.h"
+
+/* Links all entries into the free list and empties every queue list. */
+void
+eel_queue_init (struct eel_admission *admission)
+{
+  for (uint32_t i = 0; i < EEL_ADMISSION_LISTS; i++)
+    {
+      admission->heads[i] = EEL_ADMISSION_NONE;
+      admission->tails[i] = EEL_ADMISSION_NONE;
+    }
+  admission->free_list = EEL_ADMISSION_NONE;
+  for (uint32_t i = admission->queue_capacity; i > 0; i--)
+    {
+      admission->queue[i - 1].next = admission->free_list;
+      admission->free_list = i - 1;
+    }
+}
+
+/* Returns the list of a piece of work; a lower number starts first. */
+uint32_t
+eel_queue_list (const struct eel_work *work)
+{
+  return (uint32_t)work->klass * 2 + (work->nested ? 0 : 1);
+}
+
+/* Returns how many entries may be queued. */
+uint32_t
+eel_queue_max (const struct eel_admission *admission)
+{
+  uint32_t max = admission->config.queue_max;
+
+  return max < admission->queue_capacity ? max : admission->queue_capacity;
+}
+
+/* Appends a copy of the work; the caller has checked that there is room. */
+void
+eel_queue_push (struct eel_admission *admission, const struct eel_work *work)
+{
+  uint32_t list = eel_queue_list (work);
+  uint32_t index = admission->free_list;
+  struct eel_admission_queued *entry = &admission->queue[index];
+
+  admission->free_list = entry->next;
+  entry->work = *work;
+  entry->list = (uint8_t)list;
+  entry->next = EEL_ADMISSION_NONE;
+  entry->previous = admission->tails[list];
+  if (entry->previous == EEL_ADMISSION_NONE)
+    admission->heads[list] = index;
+  else
+    admission->queue[entry->previous].next = index;
+  admission->tails[list] = index;
+  admission->queued++;
+  admission->list_queued[list]++;
+  admission->long_queued += entry->work.is_long;
+  admission->caller_queued[eel_fair_bucket (work)]++;
+}
+
+/* Takes an entry out of its list. */
+void
+eel_queue_unlink (struct eel_admission *admission, uint32_t index)
+{
+  struct eel_admission_queued *entry = &admission->queue[index];
+  uint32_t list = entry->list;
+
+  if (entry->previous == EEL_ADMISSION_NONE)
+    admission->heads[list] = entry->next;
+  else
+    admission->queue[entry->previous].next = entry->next;
+  if (entry->next == EEL_ADMISSION_NONE)
+    admission->tails[list] = entry->previous;
+  else
+    admission->queue[entry->next].previous = entry->previous;
+  admission->queued--;
+  admission->list_queued[list]--;
+  admission->long_queued -= entry->work.is_long;
+  admission->caller_queued[eel_fair_bucket (&entry->work)]--;
+  entry->next = admission->free_list;
+  admission->free_list = index;
+}
+
+/* Returns the entry with that id, or EEL_ADMISSION_NONE. */
+uint32_t
+eel_queue_find (const struct eel_admission *admission, uint64_t id)
+{
+  for (uint32_t list = 0; list < EEL_ADMISSION_LISTS; list++)
+    for (uint32_t i = admission->heads[list]; i != EEL_ADMISSION_NONE;
+         i = admission->queue[i].next)
+      if (admission->queue[i].work.id == id)
+        return i;
+  return EEL_ADMISSION_NONE;
+}
+
+/* Returns the number of queued entries of classes below that of the list. */
+uint32_t
+eel_queue_below (const struct eel_admission *admission, uint32_t list)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = (list / 2 + 1) * 2; i < EEL_ADMISSION_LISTS; i++)
+    count += admission->list_queued[i];
+  return count;
+}
--- /dev/null
+++ b/tests/unit/fake_upstream.h
@@ -0,0 +1,135 @@
+#ifndef EEL_TESTS_FAKE_UPSTREAM_H
+#define EEL_TESTS_FAKE_UPSTREAM_H
+
+#include <map>
+#include <vector>
+
+extern "C"
+{
+#include "eelgrasslatch/admission.h"
+#include "eelgrasslatch/rng.h"
+}
+
+/*
+ * An upstream in virtual time behind one admission: slots, a service time per
+ * route, slowness, refusals above its true slots and queueing inside it.
+ */
+struct fake_upstream
+{
+  struct eel_admission admission;
+  std::vector<struct eel_admission_queued> queue;
+  std::multimap<int64_t, struct eel_work> running;
+  std::map<uint32_t, int64_t> service_us;
+  struct eel_rng rng;
+  int64_t now_us = 0;
+  double slowness = 1;
+  uint32_t true_slots = 1000;
+  /* Above the true slots: refuse, or share them as a processor does. */
+  bool refuses = true;
+  uint64_t next_id = 1;
+  std::vector<struct eel_work> ended;
+  std::vector<uint64_t> displaced;
+  std::vector<struct eel_work> late;
+
+  explicit fake_upstream (const struct eel_admission_config &config)
+      : queue (512)
+  {
+    eel_rng_init (&rng, 7);
+    eel_admission_init (&admission, &config, queue.data (),
+                        static_cast<uint32_t> (queue.size ()), 0);
+  }
+
+  void
+  begin (const struct eel_work &work)
+  {
+    double took = static_cast<double> (service_us[work.route_hash]) * slowness
+                  * (0.5 + eel_rng_unit (&rng));
+
+    if (running.size () >= true_slots)
+      {
+        if (refuses)
+          {
+            eel_admission_done (&admission, &work, EEL_WORK_REFUSED, now_us);
+            return;
+          }
+        took *= static_cast<double> (running.size () + 1) / true_slots;
+      }
+    running.emplace (now_us + static_cast<int64_t> (took), work);
+  }
+
+  struct eel_offer_result
+  offer (enum eel_class klass,
+         uint32_t route,
+         int64_t deadline_us,
+         uint32_t caller = 1,
+         bool nested = false)
+  {
+    struct eel_work work = {};
+
+    work.id = next_id++;
+    work.klass = klass;
+    work.nested = nested;
+    work.caller_hash = caller;
+    work.route_hash = route;
+    work.deadline_us = now_us + deadline_us;
+    struct eel_offer_result result
+        = eel_admission_offer (&admission, &work, now_us);
+    if (result.verdict == EEL_OFFER_START)
+      begin (work);
+    if (result.displaced_id != 0)
+      displaced.push_back (result.displaced_id);
+    return result;
+  }
+
+  void
+  drain_queue ()
+  {
+    struct eel_work work;
+    enum eel_error error;
+
+    while (eel_admission_next (&admission, &work, &error, now_us))
+      if (error == EEL_OK)
+        begin (work);
+      else
+        late.push_back (work);
+  }
+
+  /* Runs until a time, ending what is due and starting what may. */
+  void
+  run_to (int64_t end_us)
+  {
+    while (!running.empty () && running.begin ()->first <= end_us)
+      {
+        auto first = running.begin ();
+        struct eel_work work = first->second;
+
+        now_us = first->first;
+        running.erase (first);
+        ended.push_back (work);
+        eel_admission_done (&admission, &work,
+                            now_us <= work.deadline_us ? EEL_WORK_OK
+                                                       : EEL_WORK_TIMED_OUT,
+                            now_us);
+        drain_queue ();
+      }
+    now_us = end_us;
+    drain_queue ();
+  }
+};
+
+static inline struct eel_admission_config
+fake_config (uint32_t slots, uint32_t queue_max = 100)
+{
+  struct eel_admission_config config = {};
+
+  config.slots = slots;
+  config.limit_min = 1;
+  config.queue_max = queue_max;
+  config.queue_target_us = 20 * EEL_US_PER_MS;
+  config.long_factor = 8;
+  config.long_share_max_percent = 75;
+  config.caller_share_percent = 50;
+  return config;
+}
+
+#endif
