--- a/include/eelgrasslatch/preset.h
+++ b/include/eelgrasslatch/preset.h
@@ -16,6 +16,7 @@
 #define EEL_PRESETS_MAX 16
 #define EEL_RULES_MAX 4096
 #define EEL_PATH_MAX 256
+#define EEL_RULE_HEADS 256
 
 /* Total order of documents: revision first, then the hash of the bytes. */
 struct eel_revision
@@ -66,6 +67,9 @@
   uint32_t in_force;
   struct eel_rule *rules;
   uint32_t rule_count;
+  /* Chains of the rules by service; numbers are index + 1, 0 ends a chain. */
+  uint32_t *rule_next;
+  uint32_t rule_heads[EEL_RULE_HEADS];
   uint32_t references;
   /* The exact bytes that were accepted. */
   uint8_t *bytes;
