--- a/Makefile
+++ b/Makefile
@@ -71,52 +71,62 @@
 
 $(BUILD)/%.c.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(CFLAGS) -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.cc.o: %.cc
 	@mkdir -p $(@D)
-	$(CXX) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+	@echo CXX $<
+	@$(CXX) $(CXXFLAGS) -MMD -MP -c -o $@ $<
 
 # Generated code is committed; it is built without the warnings of ours.
 $(BUILD)/%.pb-c.c.o: %.pb-c.c
 	@mkdir -p $(@D)
-	$(CC) $(filter-out -Werror -Wshadow,$(CFLAGS)) -MMD -MP -c -o $@ $<
+	@echo CC $<
+	@$(CC) $(filter-out -Werror -Wshadow,$(CFLAGS)) -MMD -MP -c -o $@ $<
 
 $(LIB_A): $(call obj,$(LIB_SRC))
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 $(LIB_SO): $(call obj,$(LIB_SRC))
-	$(CXX) -shared -Wl,-soname,libeelgrasslatch.so.0 $(LDFLAGS) -o $@ $^ \
+	@$(CXX) -shared -Wl,-soname,libeelgrasslatch.so.0 $(LDFLAGS) -o $@ $^ \
 		$(PKG_LIBS)
 
 $(APP_A): $(call obj,$(APP_SRC))
 	@rm -f $@
-	$(AR) rcs $@ $^
+	@$(AR) rcs $@ $^
 
 link = $(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
 	$(LIB_A) $(PKG_LIBS)
 
 $(BUILD)/eelgrasslatchd: $(call obj,$(DAEMON_SRC)) $(APP_A) $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/eelgrasslatchctl: $(call obj,$(CTL_SRC)) $(APP_A) $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/standin_%: $(BUILD)/tests/standin/%.c.o $(STANDIN_COMMON) $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/fuzz_%: $(BUILD)/tests/fuzz/fuzz_%.c.o $(FUZZ_COMMON) $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/bench_%: $(BUILD)/bench/bench_%.c.o $(BENCH_COMMON) $(APP_A) $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/example_%: $(BUILD)/examples/%.c.o $(LIB_A)
-	$(link)
+	@echo LD $@
+	@$(link)
 
 $(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(APP_A) $(LIB_A)
-	$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(APP_A) $(LIB_A) $(PKG_LIBS) \
+	@echo LD $@
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(APP_A) $(LIB_A) $(PKG_LIBS) \
 		-lgtest -lgtest_main
 
 deps:
@@ -146,16 +156,16 @@
 TIDY_JOBS ?= 8
 
 format:
-	clang-format -i $(SOURCES)
+	@clang-format -i $(SOURCES)
 
 format-check:
-	clang-format --dry-run -Werror $(SOURCES)
+	@clang-format --dry-run -Werror $(SOURCES)
 
 lint:
-	cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 		--suppress=missingIncludeSystem --enable=warning,portability \
 		$(INCS) $(C_SOURCES)
-	printf '%s\n' $(C_SOURCES) | xargs -P $(TIDY_JOBS) -n 4 sh -c \
+	@printf '%s\n' $(C_SOURCES) | xargs -P $(TIDY_JOBS) -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- -std=gnu11 $(DEFS_SH) $(INCS) $(PKG_CFLAGS) 2>/dev/null' tidy
 
 DEFS_SH := -D_GNU_SOURCE -DEEL_VERSION=\"$(VERSION)\" \
