--- a/src/execution/decider.c
+++ b/src/execution/decider.c
@@ -108,22 +108,26 @@
   return EEL_OK;
 }
 
-/* Returns the record of a key, or NULL. */
-struct eel_decider_record *
-eel_decider_find (struct eel_decider *decider, const struct eel_key *key)
+/* Returns the place of a key's record, or EEL_INDEX_NONE. */
+static uint32_t
+find_index (const struct eel_decider *decider, const struct eel_key *key)
 {
   uint32_t index
       = decider->buckets[eel_key_bucket (key, decider->bucket_count)];
 
-  while (index != EEL_INDEX_NONE)
-    {
-      struct eel_decider_record *record = &decider->records[index];
+  while (index != EEL_INDEX_NONE
+         && !eel_key_equal (&decider->records[index].key, key))
+    index = decider->records[index].next;
+  return index;
+}
 
-      if (eel_key_equal (&record->key, key))
-        return record;
-      index = record->next;
-    }
-  return NULL;
+/* Returns the record of a key, or NULL. */
+struct eel_decider_record *
+eel_decider_find (struct eel_decider *decider, const struct eel_key *key)
+{
+  uint32_t index = find_index (decider, key);
+
+  return index == EEL_INDEX_NONE ? NULL : &decider->records[index];
 }
 
 /* Returns what a terminal or running record says to another copy. */
@@ -170,6 +174,18 @@
   return EEL_VERDICT_RUN;
 }
 
+/* Enters the record of a nested call, whose root was issued here. */
+static enum eel_verdict
+begin_child (struct eel_decider *decider,
+             const struct eel_key *key,
+             struct eel_decider_record **record)
+{
+  if (eel_key_is_root (key))
+    return EEL_VERDICT_UNKNOWN;
+  *record = insert (decider, &decider->free_children, key);
+  return *record == NULL ? EEL_VERDICT_FULL : EEL_VERDICT_RUN;
+}
+
 /*
  * Decides about a copy of a request.  With EEL_VERDICT_RUN the record is
  * open and the copy is the one that runs.  The outcome of an expired key is
@@ -184,29 +200,28 @@
 {
   enum eel_verdict verdict = check_key (decider, key);
   int expired = now_us >= key->expiry_us;
-  struct eel_decider_record *found;
+  uint32_t index;
 
   *record = NULL;
   if (verdict != EEL_VERDICT_RUN)
     return verdict;
-  found = eel_decider_find (decider, key);
-  if (expired && (found == NULL || may_start (found)))
+  index = find_index (decider, key);
+  if (expired
+      && (index == EEL_INDEX_NONE || may_start (&decider->records[index])))
     return EEL_VERDICT_EXPIRED;
-  if (found == NULL)
-    {
-      if (eel_key_is_root (key))
-        return EEL_VERDICT_UNKNOWN;
-      found = insert (decider, &decider->free_children, key);
-      if (found == NULL)
-        return EEL_VERDICT_FULL;
-    }
-  *record = found;
-  if (found->state != EEL_DECIDER_ISSUED && found->fingerprint != fingerprint)
+  if (index != EEL_INDEX_NONE)
+    *record = &decider->records[index];
+  else
+    verdict = begin_child (decider, key, record);
+  if (verdict != EEL_VERDICT_RUN)
+    return verdict;
+  if ((*record)->state != EEL_DECIDER_ISSUED
+      && (*record)->fingerprint != fingerprint)
     return EEL_VERDICT_MISMATCH;
-  if (!may_start (found))
-    return verdict_of (found);
-  found->fingerprint = fingerprint;
-  found->state = EEL_DECIDER_OPEN;
+  if (!may_start (*record))
+    return verdict_of (*record);
+  (*record)->fingerprint = fingerprint;
+  (*record)->state = EEL_DECIDER_OPEN;
   return EEL_VERDICT_RUN;
 }
 
--- /dev/null
+++ b/tests/unit/test_coordinator.cc
@@ -0,0 +1,336 @@
+#include <gtest/gtest.h>
+#include <vector>
+
+extern "C"
+{
+#include "eelgrasslatch/coordinator.h"
+}
+
+namespace
+{
+const uint8_t secret[EEL_KEY_SECRET_BYTES] = { 9 };
+const int64_t deadline = 10000;
+const int64_t seal_timeout = 1000;
+
+class coordinator_test : public ::testing::Test
+{
+protected:
+  std::vector<struct eel_decider_record> records
+      = std::vector<struct eel_decider_record> (8);
+  std::vector<uint32_t> buckets = std::vector<uint32_t> (8);
+  std::vector<struct eel_answer_slot> answers
+      = std::vector<struct eel_answer_slot> (4);
+  std::vector<struct eel_pending> pending = std::vector<struct eel_pending> (2);
+  std::vector<struct eel_waiter> waiters = std::vector<struct eel_waiter> (80);
+  struct eel_coordinator c;
+  struct eel_key key;
+  struct eel_action out[EEL_ACTIONS_MAX];
+  uint64_t next_call = 1;
+
+  void
+  SetUp () override
+  {
+    struct eel_decider decider;
+    struct eel_decider_storage storage
+        = { records.data (), 4, 4, buckets.data (), 8, answers.data (), 4, 99 };
+
+    eel_decider_init (&decider, 5, 77, secret, &storage);
+    eel_coordinator_init (&c, &decider, pending.data (), 2, waiters.data (), 80,
+                          seal_timeout);
+    ASSERT_EQ (eel_decider_issue (&c.decider, 3, 1000000, 0, &key), EEL_OK);
+  }
+  void
+  TearDown () override
+  {
+    eel_coordinator_finish (&c);
+  }
+  size_t
+  arrive (const struct eel_key &k,
+          int64_t now = 0,
+          uint8_t spare = 0,
+          int64_t until = deadline)
+  {
+    struct eel_arrival arrival = { k, 11, next_call++, until, spare };
+
+    return eel_coordinator_arrived (&c, &arrival, now, out);
+  }
+  enum eel_error
+  dispatch (uint8_t attempt = 1, int64_t now = 0)
+  {
+    return eel_coordinator_dispatched (&c, &key, attempt, 1, 100, now);
+  }
+  size_t
+  reply (enum eel_attempt_result result,
+         enum eel_error error = EEL_OK,
+         uint8_t attempt = 1,
+         uint8_t unused = 0,
+         uint64_t incarnation = 100)
+  {
+    static const uint8_t bytes[] = "answer";
+
+    return eel_coordinator_replied (&c, &key, attempt, 1, incarnation, result,
+                                    error, unused, bytes, sizeof bytes, 1, out);
+  }
+  size_t
+  sealed (enum eel_executor_state state, uint64_t incarnation = 100)
+  {
+    return eel_coordinator_sealed (&c, &key, 1, 1, incarnation, state, 9500,
+                                   out);
+  }
+  void
+  begin_dispatched ()
+  {
+    ASSERT_EQ (arrive (key), 1u);
+    ASSERT_EQ (out[0].kind, EEL_ACTION_EXECUTE);
+    ASSERT_EQ (dispatch (), EEL_OK);
+  }
+};
+}
+
+// Guards against a second copy that runs, or gets no or another answer.
+TEST_F (coordinator_test, copies_share_one_run_and_its_answer)
+{
+  begin_dispatched ();
+  EXPECT_EQ (arrive (key), 0u);
+  EXPECT_EQ (reply (EEL_ATTEMPT_RAN), 2u);
+  for (int i = 0; i < 2; i++)
+    {
+      EXPECT_EQ (out[i].outcome, EEL_OUTCOME_RAN);
+      EXPECT_STREQ (reinterpret_cast<const char *> (out[i].answer), "answer");
+    }
+  EXPECT_NE (out[0].call_id, out[1].call_id);
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_STREQ (reinterpret_cast<const char *> (out[0].answer), "answer");
+}
+
+// Guards against "not run" while the attempt may still run: for each way an
+// unanswered attempt ends, the caller is told only what is certain.
+TEST_F (coordinator_test, timeout_tells_only_what_is_certain)
+{
+  struct
+  {
+    const char *what;
+    enum eel_executor_state state;
+    uint64_t incarnation;
+    enum eel_outcome outcome;
+    enum eel_retry_advice retry;
+    bool at_once;
+  } const rows[] = {
+    { "sealed", EEL_EXECUTOR_SEALED, 100, EEL_OUTCOME_NOT_RUN,
+      EEL_RETRY_NEW_KEY, true },
+    { "sealed by a restarted executor", EEL_EXECUTOR_SEALED, 101,
+      EEL_OUTCOME_UNKNOWN, EEL_RETRY_NONE, true },
+    { "table full", EEL_EXECUTOR_FREE, 100, EEL_OUTCOME_UNKNOWN, EEL_RETRY_NONE,
+      true },
+    { "running", EEL_EXECUTOR_RUNNING, 100, EEL_OUTCOME_UNKNOWN,
+      EEL_RETRY_SAME_KEY, false },
+    { "done", EEL_EXECUTOR_DONE, 100, EEL_OUTCOME_UNKNOWN, EEL_RETRY_SAME_KEY,
+      false },
+  };
+
+  for (const auto &row : rows)
+    {
+      SCOPED_TRACE (row.what);
+      begin_dispatched ();
+      ASSERT_EQ (eel_coordinator_tick (&c, deadline - seal_timeout, out), 1u);
+      ASSERT_EQ (out[0].kind, EEL_ACTION_SEAL);
+      EXPECT_EQ (out[0].executor_incarnation, 100u);
+      ASSERT_EQ (sealed (row.state, row.incarnation), row.at_once ? 1u : 0u);
+      if (!row.at_once)
+        {
+          ASSERT_EQ (eel_coordinator_tick (&c, deadline, out), 1u);
+        }
+      EXPECT_EQ (out[0].outcome, row.outcome);
+      EXPECT_EQ (out[0].retry, row.retry);
+      EXPECT_EQ (c.pending_count, 0u);
+      TearDown ();
+      SetUp ();
+    }
+}
+
+// Guards against a caller that waits for an executor that cannot be reached,
+// and against a late reply being lost to its resend.
+TEST_F (coordinator_test, unreachable_executor_is_unknown_by_the_deadline)
+{
+  begin_dispatched ();
+  ASSERT_EQ (eel_coordinator_tick (&c, deadline - seal_timeout, out), 1u);
+  ASSERT_EQ (eel_coordinator_tick (&c, deadline, out), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_UNKNOWN);
+  EXPECT_EQ (c.unknown_by_error[EEL_ERROR_OUTCOME_UNKNOWN], 1u);
+  ASSERT_EQ (arrive (key, deadline, 0, 2 * deadline), 1u);
+  EXPECT_EQ (out[0].kind, EEL_ACTION_SEAL);
+  ASSERT_EQ (reply (EEL_ATTEMPT_RAN), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_RAN);
+}
+
+// Guards against a dispatch decided before a pause or seal being sent after.
+TEST_F (coordinator_test, dispatch_is_checked_again)
+{
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (dispatch (1, deadline), EEL_ERROR_DEADLINE);
+  EXPECT_EQ (dispatch (2, 0), EEL_ERROR_SEALED);
+  ASSERT_EQ (eel_coordinator_tick (&c, deadline, out), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+  EXPECT_EQ (dispatch (1, 0), EEL_ERROR_SEALED);
+}
+
+// Guards against more attempts than the record has spare ones, and against
+// re-dispatch of what an executor may have run.
+TEST_F (coordinator_test, refused_attempts_repeat_within_the_spare_ones)
+{
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (out[0].spare, 2);
+  for (uint8_t attempt = 1; attempt <= 3; attempt++)
+    {
+      ASSERT_EQ (dispatch (attempt), EEL_OK);
+      ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_LEAVING, attempt, 9),
+                 1u);
+      EXPECT_EQ (out[0].kind, EEL_ACTION_EXECUTE);
+      EXPECT_EQ (out[0].attempt, attempt + 1);
+    }
+  ASSERT_EQ (dispatch (4), EEL_OK);
+  ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_LEAVING, 4), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+  EXPECT_EQ (out[0].retry, EEL_RETRY_NONE);
+}
+
+// Guards against a refusal by another incarnation, which does not know what
+// the earlier one ran, being taken for certain.
+TEST_F (coordinator_test, refusal_of_other_incarnation_is_unknown)
+{
+  begin_dispatched ();
+  ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_LEAVING, 1, 0, 101), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_UNKNOWN);
+}
+
+// Guards against an order sent elsewhere after its executor restarted.
+TEST_F (coordinator_test, lost_executor_means_unknown_for_good)
+{
+  begin_dispatched ();
+  EXPECT_EQ (eel_coordinator_executor_lost (&c, 1, 100, 1, out), 0u);
+  ASSERT_EQ (eel_coordinator_executor_lost (&c, 1, 101, 1, out), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_UNKNOWN);
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_UNKNOWN);
+}
+
+// Guards against successors that differ between copies or gain attempts.
+TEST_F (coordinator_test, successor_costs_an_attempt_and_is_shared)
+{
+  struct eel_key first;
+
+  ASSERT_EQ (arrive (key), 1u);
+  ASSERT_EQ (eel_coordinator_not_dispatched (&c, &key, 1, EEL_ERROR_NO_ENDPOINT,
+                                             1, out),
+             1u);
+  ASSERT_TRUE (out[0].has_next_key);
+  first = out[0].next_key;
+  EXPECT_EQ (first.spare, 2);
+  ASSERT_EQ (arrive (key), 1u);
+  ASSERT_TRUE (out[0].has_next_key);
+  EXPECT_TRUE (eel_key_equal (&out[0].next_key, &first));
+}
+
+// Guards against spare attempts that a child holds and its parent uses too.
+TEST_F (coordinator_test, child_attempts_come_from_its_parent)
+{
+  struct eel_key root = key;
+
+  eel_key_derive_child (&key, &root, "charge", 6, secret);
+  ASSERT_EQ (arrive (key, 0, 4), 1u);
+  EXPECT_EQ (out[0].spare, 2);
+  ASSERT_EQ (dispatch (), EEL_OK);
+  ASSERT_EQ (arrive (key, 0, 1), 0u);
+  ASSERT_EQ (reply (EEL_ATTEMPT_RAN, EEL_OK, 1, 1), 2u);
+  EXPECT_EQ (out[0].spare, 1) << "the copy takes back what it brought";
+  EXPECT_EQ (out[1].spare, 2) << "4, less 1 used below and 1 for the copy";
+  ASSERT_EQ (arrive (key, 0, 2), 1u);
+  EXPECT_EQ (out[0].spare, 2);
+}
+
+// Guards against inner hops multiplying an overload by retrying into it.
+TEST_F (coordinator_test, inner_hops_do_not_retry_overload)
+{
+  struct eel_key root = key;
+
+  eel_key_derive_child (&key, &root, "charge", 6, secret);
+  ASSERT_EQ (arrive (key, 0, 4), 1u);
+  ASSERT_EQ (dispatch (), EEL_OK);
+  ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_OVERLOADED, 1, 2), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+  EXPECT_EQ (out[0].retry, EEL_RETRY_NONE);
+  EXPECT_EQ (out[0].spare, 4);
+}
+
+// Guards against a copy kept past its own deadline, and told more than that
+// it was not taken.
+TEST_F (coordinator_test, impatient_copy_is_refused)
+{
+  begin_dispatched ();
+  ASSERT_EQ (arrive (key, 0, 0, 100), 0u);
+  ASSERT_EQ (eel_coordinator_tick (&c, 100, out), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_REFUSED);
+  EXPECT_EQ (out[0].error, EEL_ERROR_IN_PROGRESS);
+  EXPECT_EQ (reply (EEL_ATTEMPT_RAN), 1u);
+}
+
+// Guards against copies beyond one action array that never get an answer.
+TEST_F (coordinator_test, many_copies_are_all_answered)
+{
+  begin_dispatched ();
+  for (int i = 0; i < 70; i++)
+    EXPECT_EQ (arrive (key), 0u);
+  EXPECT_EQ (reply (EEL_ATTEMPT_RAN), size_t (EEL_ACTIONS_MAX));
+  ASSERT_EQ (eel_coordinator_tick (&c, 2, out), 71u - EEL_ACTIONS_MAX);
+  EXPECT_STREQ (reinterpret_cast<const char *> (out[0].answer), "answer");
+  EXPECT_EQ (c.pending_count, 0u);
+}
+
+// Guards against a full table that makes a key unusable.
+TEST_F (coordinator_test, full_pending_table_refuses_and_keeps_the_key)
+{
+  struct eel_key k[2];
+
+  for (struct eel_key &other : k)
+    {
+      ASSERT_EQ (eel_decider_issue (&c.decider, 0, 1000000, 0, &other), EEL_OK);
+      ASSERT_EQ (arrive (other), 1u);
+    }
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (out[0].error, EEL_ERROR_TABLE_FULL);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_REFUSED);
+  ASSERT_EQ (eel_coordinator_not_dispatched (&c, &k[0], 1, EEL_ERROR_OVERLOADED,
+                                             1, out),
+             1u);
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (out[0].kind, EEL_ACTION_EXECUTE);
+}
+
+// Guards against a planned stop that loses unsent orders or interrupts
+// running ones, and against one of them being sent again.
+TEST_F (coordinator_test, drain_seals_unsent_orders_only)
+{
+  struct eel_key other;
+
+  begin_dispatched ();
+  ASSERT_EQ (eel_decider_issue (&c.decider, 3, 1000000, 0, &other), EEL_OK);
+  ASSERT_EQ (arrive (other), 1u);
+  ASSERT_EQ (eel_coordinator_drain (&c, 1, out), 1u);
+  EXPECT_TRUE (eel_key_equal (&out[0].key, &other));
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+  EXPECT_EQ (out[0].retry, EEL_RETRY_NEW_KEY);
+  EXPECT_FALSE (out[0].has_next_key);
+  ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_LEAVING), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+}
+
+// Guards against an answer to a caller that has gone.
+TEST_F (coordinator_test, gone_caller_gets_no_answer)
+{
+  begin_dispatched ();
+  eel_coordinator_caller_gone (&c, 1);
+  EXPECT_EQ (reply (EEL_ATTEMPT_RAN), 0u);
+  EXPECT_EQ (c.pending_count, 0u);
+  ASSERT_EQ (arrive (key), 1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_RAN);
+}
