Judge the limit by the window's median, and long work by what is accepted

Long routes that are not yet known raised the mean latency of a window, so that probes lowered the limit for no reason; the median ignores them. Lookups switched to newest-first because blocked long work was old; only short work counts now. The demand of long work counted refused work each time its caller sent it again and took slots from short work; only accepted work counts.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -171,13 +171,12 @@
                      struct eel_work *work,
                      int64_t now_us)
 {
-  struct eel_offer_result started = { EEL_OFFER_START, EEL_OK, 0 };
+  struct eel_offer_result result = { EEL_OFFER_START, EEL_OK, 0 };
 
   if (work->klass >= EEL_CLASS_COUNT)
     work->klass = EEL_CLASS_BACKGROUND;
   work->arrived_us = now_us;
   work->is_long = (uint8_t)eel_route_is_long (admission, work->route_hash);
-  eel_share_offered (admission, work, now_us);
   if (eel_route_too_late (admission, work, now_us))
     return refuse (admission, work, EEL_ERROR_DEADLINE, now_us);
   if (work->klass != EEL_CLASS_CRITICAL && now_us < admission->held_until_us)
@@ -186,9 +185,13 @@
   if (starts_now (admission, work, now_us))
     {
       start (admission, work, now_us);
-      return started;
+      eel_share_accepted (admission, work, now_us);
+      return result;
     }
-  return enqueue (admission, work, now_us);
+  result = enqueue (admission, work, now_us);
+  if (result.verdict == EEL_OFFER_QUEUED)
+    eel_share_accepted (admission, work, now_us);
+  return result;
 }
 
 /* Takes an entry out of the queue as too late. */
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -1,5 +1,7 @@
 #include "internal/admission.h"
 
+#include <stdlib.h>
+
 /* A window ends after both. */
 #define WINDOW_SAMPLES 100
 #define WINDOW_US (100 * EEL_US_PER_MS)
@@ -42,7 +44,6 @@
 {
   admission->window_started_us = now_us;
   admission->window_samples = 0;
-  admission->window_latency_us = 0;
   admission->window_in_flight_max = admission->in_flight;
 }
 
@@ -102,26 +103,48 @@
                                              : BASE_RISE);
 }
 
+static int
+compare_latency (const void *a, const void *b)
+{
+  uint32_t left = *(const uint32_t *)a;
+  uint32_t right = *(const uint32_t *)b;
+
+  return (left > right) - (left < right);
+}
+
+/*
+ * Returns the median latency of the window.  A mean would follow the share of
+ * long work that is not yet known as long.
+ */
+static double
+window_median (struct eel_admission *admission)
+{
+  uint32_t count = admission->window_samples < EEL_ADMISSION_WINDOW
+                       ? admission->window_samples
+                       : EEL_ADMISSION_WINDOW;
+
+  qsort (admission->window_latency_us, count,
+         sizeof admission->window_latency_us[0], compare_latency);
+  return admission->window_latency_us[count / 2];
+}
+
 static void
 finish_window (struct eel_admission *admission, int64_t now_us)
 {
   int bound = admission->window_in_flight_max >= admission->limit * BOUND_SHARE;
   double growth = admission->limit * GROWTH;
 
-  admission->short_latency_us
-      = admission->window_latency_us / admission->window_samples;
+  admission->short_latency_us = window_median (admission);
   if (admission->probe.active)
     finish_probe (admission, bound, now_us);
   else
     learn_base (admission, bound);
-  if (bound && !admission->probe.active)
-    {
-      if (admission->short_latency_us <= admission->base_latency_us * TOLERANCE)
-        set_limit (admission, admission->limit + (growth > 1 ? growth : 1));
-      else if (now_us >= admission->probe.next_us
-               && admission->limit > limit_min (admission))
-        start_probe (admission, now_us);
-    }
+  /* Growth needs no load: refusals and probes correct a limit too high. */
+  if (admission->short_latency_us <= admission->base_latency_us * TOLERANCE)
+    set_limit (admission, admission->limit + (growth > 1 ? growth : 1));
+  else if (bound && now_us >= admission->probe.next_us
+           && admission->limit > limit_min (admission))
+    start_probe (admission, now_us);
   start_window (admission, now_us);
 }
 
@@ -157,8 +180,9 @@
     return;
   if (admission->probe.active && work->started_us < admission->probe.started_us)
     return;
+  admission->window_latency_us[admission->window_samples % EEL_ADMISSION_WINDOW]
+      = (uint32_t)(now_us - work->started_us);
   admission->window_samples++;
-  admission->window_latency_us += (double)(now_us - work->started_us);
   if (admission->window_samples >= WINDOW_SAMPLES
       && now_us - admission->window_started_us >= WINDOW_US)
     finish_window (admission, now_us);
--- a/src/admission/pick.c
+++ b/src/admission/pick.c
@@ -7,22 +7,30 @@
 #define LOOKUP_FIRST (EEL_CLASS_LOOKUP * 2)
 #define LOOKUP_LAST (EEL_CLASS_LOOKUP * 2 + 1)
 
-/* Notes since when the oldest queued lookup is older than the target. */
-void
-eel_pick_observe (struct eel_admission *admission, int64_t now_us)
+/* Returns 1 when the oldest short lookup of a list is above the target. */
+static int
+above_target (const struct eel_admission *admission,
+              uint32_t list,
+              int64_t now_us)
 {
-  int above = 0;
+  uint32_t i = admission->heads[list];
 
-  for (uint32_t list = LOOKUP_FIRST; list <= LOOKUP_LAST; list++)
-    {
-      uint32_t head = admission->heads[list];
+  while (i != EEL_ADMISSION_NONE && admission->queue[i].work.is_long)
+    i = admission->queue[i].next;
+  return i != EEL_ADMISSION_NONE
+         && now_us - admission->queue[i].work.arrived_us
+                > admission->config.queue_target_us;
+}
 
-      if (head != EEL_ADMISSION_NONE
-          && now_us - admission->queue[head].work.arrived_us
-                 > admission->config.queue_target_us)
-        above = 1;
-    }
-  if (!above)
+/*
+ * Notes since when the oldest queued lookup is older than the target.  Long
+ * work does not count: it waits for its share while short work flows.
+ */
+void
+eel_pick_observe (struct eel_admission *admission, int64_t now_us)
+{
+  if (!above_target (admission, LOOKUP_FIRST, now_us)
+      && !above_target (admission, LOOKUP_LAST, now_us))
     admission->above_target_since_us = 0;
   else if (admission->above_target_since_us == 0)
     admission->above_target_since_us = now_us;
--- a/src/admission/share.c
+++ b/src/admission/share.c
@@ -8,13 +8,18 @@
 /* Slots above the mean demand of short work that are kept for it, in
  * standard deviations of a Poisson count. */
 #define RESERVE_DEVIATIONS 2.5
+/* Slots above the estimated need, which leaves out refused long work. */
+#define NEED_EXTRA 0.5
 #define FAIR_TIME_US (1.0 * EEL_US_PER_S)
 
-/* Adds offered work to the demand for slots of its kind. */
+/*
+ * Adds accepted work to the demand for slots of its kind.  Refused work is
+ * left out: its callers send it again.
+ */
 void
-eel_share_offered (struct eel_admission *admission,
-                   const struct eel_work *work,
-                   int64_t now_us)
+eel_share_accepted (struct eel_admission *admission,
+                    const struct eel_work *work,
+                    int64_t now_us)
 {
   double gap_us = (double)(now_us - admission->demand_at_us);
   double mean_us = (double)eel_route_mean_us (admission, work->route_hash);
@@ -45,7 +50,7 @@
   double unused
       = limit - used - RESERVE_DEVIATIONS * sqrt (used) - (used > 0.05 ? 1 : 0);
   double most = limit * admission->config.long_share_max_percent / 100;
-  double allowed = ceil (need);
+  double allowed = ceil (need + NEED_EXTRA);
 
   if (need + used > 0 && allowed > limit * need / (need + used))
     allowed = limit * need / (need + used);
--- a/src/internal/admission.h
+++ b/src/internal/admission.h
@@ -43,9 +43,9 @@
                      int64_t now_us);
 
 /* Share of long work, fairness between callers. */
-void eel_share_offered (struct eel_admission *admission,
-                        const struct eel_work *work,
-                        int64_t now_us);
+void eel_share_accepted (struct eel_admission *admission,
+                         const struct eel_work *work,
+                         int64_t now_us);
 uint32_t eel_share_long_allowed (struct eel_admission *admission);
 void eel_fair_charge (struct eel_admission *admission,
                       const struct eel_work *work,
