Ask for more proof before ejecting when the others are busy

With 5% long calls, four slow replies in a row come by chance. Ejecting a healthy endpoint at 80% use overloaded the other two, which then looked slow in turn. Five net bad replies are needed now, and eight while the others are used above half; trials no longer start anew after one long call.

--- a/src/internal/routing.h
+++ b/src/internal/routing.h
@@ -7,6 +7,7 @@
 
 double eel_routing_peer_median (const struct eel_routing *routing,
                                 const struct eel_endpoint *self);
+double eel_routing_use (const struct eel_endpoint *endpoint, int64_t now_us);
 int eel_routing_may_eject (const struct eel_routing *routing);
 void eel_routing_judge (struct eel_routing *routing,
                         struct eel_endpoint *endpoint,
--- a/src/routing/pick.c
+++ b/src/routing/pick.c
@@ -27,8 +27,8 @@
 };
 
 /* Returns the share of the endpoint's limit that is in use. */
-static double
-use (const struct eel_endpoint *endpoint, int64_t now_us)
+double
+eel_routing_use (const struct eel_endpoint *endpoint, int64_t now_us)
 {
   double limit = endpoint->load.limit;
   double busy = endpoint->in_flight;
@@ -125,7 +125,7 @@
       else if (count < CANDIDATES_MAX)
         {
           out[count++] = i;
-          cool += use (endpoint, choice->now_us) < spill
+          cool += eel_routing_use (endpoint, choice->now_us) < spill
                   && endpoint->consecutive_bad < SUSPECT_REPLIES;
         }
     }
@@ -154,8 +154,8 @@
         int64_t now_us)
 {
   double spill = routing->config.spill_percent / 100.0;
-  double use_a = use (a, now_us);
-  double use_b = use (b, now_us);
+  double use_a = eel_routing_use (a, now_us);
+  double use_b = eel_routing_use (b, now_us);
 
   if (use_a < spill && use_b < spill && latency_known (a, now_us)
       && latency_known (b, now_us))
--- a/src/routing/straggler.c
+++ b/src/routing/straggler.c
@@ -1,8 +1,15 @@
 #include "internal/routing.h"
 
-/* Bad replies, less good ones, after which an endpoint is ejected. */
-#define SLOW_REPLIES 4
-/* Good trials in a row after which it is back. */
+/*
+ * Bad replies, less good ones, after which an endpoint is ejected.  With 5%
+ * long calls, 5 in a row come by chance about once a minute at 8,000 calls/s.
+ * That is harmless while the others have room, and an overload otherwise, so
+ * that busy peers need more replies as proof.
+ */
+#define BAD_REPLIES 5
+#define BAD_REPLIES_BUSY 8
+#define BUSY_USE 0.5
+/* Good trials, less bad ones, after which it is back. */
 #define GOOD_TRIALS 3
 /* Good replies of the others, and their excess over bad ones, that show that
  * the cause is at this endpoint and not behind all of them. */
@@ -67,7 +74,10 @@
              int bad,
              int64_t now_us)
 {
-  endpoint->consecutive_good = bad ? 0 : endpoint->consecutive_good + 1;
+  if (!bad)
+    endpoint->consecutive_good++;
+  else if (endpoint->consecutive_good > 0)
+    endpoint->consecutive_good--;
   if (endpoint->consecutive_good < GOOD_TRIALS
       || now_us - endpoint->state_since_us < routing->config.ejection_us)
     return;
@@ -110,6 +120,27 @@
   return good >= OTHERS_GOOD_MIN && good >= bad * OTHERS_GOOD_FACTOR;
 }
 
+/* Returns the proof that an ejection needs, by the use of the others. */
+static uint32_t
+bad_replies_needed (const struct eel_routing *routing,
+                    const struct eel_endpoint *endpoint,
+                    int64_t now_us)
+{
+  double used = 0;
+  uint32_t others = 0;
+
+  for (uint32_t i = 0; i < routing->count; i++)
+    {
+      const struct eel_endpoint *other = &routing->endpoints[i];
+
+      if (other == endpoint || other->state != EEL_ENDPOINT_UP)
+        continue;
+      used += eel_routing_use (other, now_us);
+      others++;
+    }
+  return used > others * BUSY_USE ? BAD_REPLIES_BUSY : BAD_REPLIES;
+}
+
 /*
  * Judges an endpoint by one reply, against the median of its peers: when all
  * are slow, the cause is not this endpoint.  A refusal for overload is not
@@ -134,7 +165,8 @@
   if (endpoint->state != EEL_ENDPOINT_UP)
     return;
   count (routing, endpoint, bad);
-  if (endpoint->consecutive_bad >= SLOW_REPLIES
+  if (endpoint->consecutive_bad
+          >= bad_replies_needed (routing, endpoint, now_us)
       && others_are_good (routing, endpoint))
     eject (routing, endpoint, now_us);
 }
