Take only replies after the suspicion as proof for an ejection

When a service behind all endpoints turned slow, the endpoint with the most calls reached its bad replies first, and the good replies of the others from before the change counted as proof. The healthy third was ejected, and with orders only it was hardly ever tried. Proof now begins when the endpoint is suspected, and orders take part in trials of an endpoint that is only slow.

--- a/include/eelgrasslatch/routing.h
+++ b/include/eelgrasslatch/routing.h
@@ -35,7 +35,8 @@
   uint32_t ejections;
   uint32_t consecutive_bad;
   uint32_t consecutive_good;
-  /* Replies since the first of the bad ones, and those of all then. */
+  /* Replies since the endpoint is suspected, and those of all then. */
+  uint8_t suspected;
   uint32_t good_since;
   uint32_t bad_since;
   uint64_t all_good_then;
--- a/src/routing/pick.c
+++ b/src/routing/pick.c
@@ -6,7 +6,9 @@
 #define SHED_LIFE_US (100 * EEL_US_PER_MS)
 /* Weight at the start of a cold-start ramp. */
 #define RAMP_START 0.1
-/* Orders try an ejected endpoint only without other trials for so long. */
+/* Orders try an endpoint that fails only without other trials for so long;
+ * one that is only slow still runs them. */
+#define FAILING_RATE 0.1
 #define ORDER_TRIAL_US (5 * EEL_US_PER_S)
 #define CANDIDATES_MAX 64
 /* Bad replies from which on other failure domains are tried as well. */
@@ -192,7 +194,7 @@
 
 /*
  * Returns an ejected endpoint that is due for a trial.  Orders run at most
- * once and can't be hedged, so they try only when nothing else does.
+ * once, so they try one that fails only when nothing else does.
  */
 static struct eel_endpoint *
 trial (struct eel_routing *routing, const struct choice *choice)
@@ -211,6 +213,7 @@
           || excluded (choice, endpoint->node))
         continue;
       if (choice->klass == EEL_CLASS_CRITICAL
+          && endpoint->failure_rate > FAILING_RATE
           && choice->now_us - last_us < ORDER_TRIAL_US)
         continue;
       endpoint->last_trial_us = choice->now_us;
--- a/src/routing/straggler.c
+++ b/src/routing/straggler.c
@@ -88,15 +88,11 @@
 }
 
 static void
-count (struct eel_routing *routing, struct eel_endpoint *endpoint, int bad)
+count (struct eel_routing *routing,
+       struct eel_endpoint *endpoint,
+       uint32_t needed,
+       int bad)
 {
-  if (endpoint->consecutive_bad == 0)
-    {
-      endpoint->good_since = 0;
-      endpoint->bad_since = 0;
-      endpoint->all_good_then = routing->good_replies;
-      endpoint->all_bad_then = routing->bad_replies;
-    }
   routing->good_replies += !bad;
   routing->bad_replies += bad;
   endpoint->good_since += !bad;
@@ -105,9 +101,23 @@
     endpoint->consecutive_bad++;
   else if (endpoint->consecutive_bad > 0)
     endpoint->consecutive_bad--;
+  if (endpoint->consecutive_bad < needed)
+    endpoint->suspected = 0;
+  else if (!endpoint->suspected)
+    {
+      endpoint->suspected = 1;
+      endpoint->good_since = 0;
+      endpoint->bad_since = 0;
+      endpoint->all_good_then = routing->good_replies;
+      endpoint->all_bad_then = routing->bad_replies;
+    }
 }
 
-/* Returns 1 when the other endpoints replied well in the same time. */
+/*
+ * Returns 1 when the others replied well since this endpoint is suspected.
+ * Earlier replies prove nothing: when all turn slow together, the endpoint
+ * with the most calls is suspected first.
+ */
 static int
 others_are_good (const struct eel_routing *routing,
                  const struct eel_endpoint *endpoint)
@@ -164,10 +174,9 @@
     judge_trial (routing, endpoint, bad, now_us);
   if (endpoint->state != EEL_ENDPOINT_UP)
     return;
-  count (routing, endpoint, bad);
-  if (endpoint->consecutive_bad
-          >= bad_replies_needed (routing, endpoint, now_us)
-      && others_are_good (routing, endpoint))
+  count (routing, endpoint, bad_replies_needed (routing, endpoint, now_us),
+         bad);
+  if (endpoint->suspected && others_are_good (routing, endpoint))
     eject (routing, endpoint, now_us);
 }
 
