Refuse work at once when its expected wait in the queue is too long

Work that would be dropped late occupied the queue and, when it was nested, the slot of its parent for the whole wait. An order that can take the place of lower work is still queued.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -132,6 +132,26 @@
   return EEL_OK;
 }
 
+/*
+ * Returns 1 when the work would wait in the queue until it is too late.  An
+ * order that may take the place of lower work is never judged so.
+ */
+static int
+waits_too_long (struct eel_admission *admission,
+                const struct eel_work *work,
+                int64_t now_us)
+{
+  uint32_t list = eel_queue_list (work);
+  struct eel_work later = *work;
+
+  if (work->is_long || eel_pick_newest_first (admission, list, now_us)
+      || (work->klass == EEL_CLASS_CRITICAL
+          && eel_queue_below (admission, list) > 0))
+    return 0;
+  later.deadline_us -= eel_queue_wait_us (admission, list);
+  return eel_route_too_late (admission, &later, now_us);
+}
+
 static struct eel_offer_result
 enqueue (struct eel_admission *admission,
          const struct eel_work *work,
@@ -140,6 +160,8 @@
   struct eel_offer_result result = { EEL_OFFER_QUEUED, EEL_OK, 0 };
   enum eel_error error = queue_check (admission, work);
 
+  if (error == EEL_OK && waits_too_long (admission, work, now_us))
+    error = EEL_ERROR_OVERLOADED;
   if (error != EEL_OK && error != EEL_ERROR_CALLER_LIMIT)
     return refuse (admission, work, error, now_us);
   if (error != EEL_OK || admission->queued >= eel_queue_max (admission))
--- a/src/admission/pick.c
+++ b/src/admission/pick.c
@@ -36,10 +36,11 @@
     admission->above_target_since_us = now_us;
 }
 
-static int
-newest_first (const struct eel_admission *admission,
-              uint32_t list,
-              int64_t now_us)
+/* Returns 1 when a list is served newest first now. */
+int
+eel_pick_newest_first (const struct eel_admission *admission,
+                       uint32_t list,
+                       int64_t now_us)
 {
   if (list < LOOKUP_FIRST || admission->above_target_since_us == 0)
     return 0;
@@ -73,7 +74,7 @@
 static uint32_t
 pick_in_list (struct eel_admission *admission, uint32_t list, int64_t now_us)
 {
-  int newest = newest_first (admission, list, now_us);
+  int newest = eel_pick_newest_first (admission, list, now_us);
   uint32_t other = EEL_ADMISSION_NONE;
   uint32_t i = newest ? admission->tails[list] : admission->heads[list];
 
@@ -125,9 +126,10 @@
 
   for (uint32_t list = EEL_ADMISSION_LISTS - 1; list > own; list--)
     if (admission->list_queued[list] > 0)
-      return newest_first (admission, list, now_us) ? admission->heads[list]
-                                                    : admission->tails[list];
-  if (newest_first (admission, own, now_us))
+      return eel_pick_newest_first (admission, list, now_us)
+                 ? admission->heads[list]
+                 : admission->tails[list];
+  if (eel_pick_newest_first (admission, own, now_us))
     return admission->heads[own];
   return EEL_ADMISSION_NONE;
 }
@@ -141,7 +143,7 @@
   uint32_t list = eel_queue_list (work);
   uint32_t bucket = eel_fair_bucket (work);
 
-  if (!newest_first (admission, list, now_us))
+  if (!eel_pick_newest_first (admission, list, now_us))
     return EEL_ADMISSION_NONE;
   for (uint32_t i = admission->heads[list]; i != EEL_ADMISSION_NONE;
        i = admission->queue[i].next)
--- a/src/admission/queue.c
+++ b/src/admission/queue.c
@@ -92,6 +92,21 @@
   return EEL_ADMISSION_NONE;
 }
 
+/* Returns the expected wait of short work that joins a list at its end. */
+int64_t
+eel_queue_wait_us (const struct eel_admission *admission, uint32_t list)
+{
+  uint32_t slots = (uint32_t)admission->limit;
+  uint32_t ahead = 0;
+
+  for (uint32_t i = 0; i <= list; i++)
+    ahead += admission->list_queued[i];
+  ahead = ahead > admission->long_queued ? ahead - admission->long_queued : 0;
+  slots = slots > admission->long_in_flight ? slots - admission->long_in_flight
+                                            : 1;
+  return (int64_t)(ahead * admission->median_us / slots);
+}
+
 /* Returns the number of queued entries of classes below that of the list. */
 uint32_t
 eel_queue_below (const struct eel_admission *admission, uint32_t list)
--- a/src/internal/admission.h
+++ b/src/internal/admission.h
@@ -16,6 +16,8 @@
                      const struct eel_work *work);
 void eel_queue_unlink (struct eel_admission *admission, uint32_t index);
 uint32_t eel_queue_find (const struct eel_admission *admission, uint64_t id);
+int64_t eel_queue_wait_us (const struct eel_admission *admission,
+                           uint32_t list);
 uint32_t eel_queue_below (const struct eel_admission *admission, uint32_t list);
 
 /* Learnt service times. */
@@ -60,6 +62,9 @@
 int eel_pick_long_ok (struct eel_admission *admission,
                       const struct eel_work *work,
                       int64_t now_us);
+int eel_pick_newest_first (const struct eel_admission *admission,
+                           uint32_t list,
+                           int64_t now_us);
 uint32_t eel_pick (struct eel_admission *admission, int64_t now_us);
 /* Queued work that gives its place to an arrival, or EEL_ADMISSION_NONE. */
 uint32_t eel_pick_victim (struct eel_admission *admission,
