Average the limit's latencies as logarithms

The mean of logarithms is as robust against unknown long work as the median and less noisy, so that fewer probes keep a lower limit by chance; latency now has to follow 60% of the decrease.

--- a/include/eelgrasslatch/admission.h
+++ b/include/eelgrasslatch/admission.h
@@ -15,7 +15,6 @@
 
 #define EEL_ADMISSION_ROUTES 256
 #define EEL_ADMISSION_CALLERS 64
-#define EEL_ADMISSION_WINDOW 128
 
 struct eel_work
 {
@@ -115,8 +114,7 @@
   int64_t held_until_us;
   int64_t swept_at_us;
   struct eel_limit_probe probe;
-  /* The last latencies of the window. */
-  uint32_t window_latency_us[EEL_ADMISSION_WINDOW];
+  double window_log_sum;
   /* Mean over all routes and median of service times. */
   double mean_us;
   double median_us;
--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -1,6 +1,6 @@
 #include "internal/admission.h"
 
-#include <stdlib.h>
+#include <math.h>
 
 /* A window ends after both. */
 #define WINDOW_SAMPLES 100
@@ -10,7 +10,7 @@
 /* A probe lowers the limit by this factor. */
 #define PROBE_FACTOR 0.8
 /* Share of the decrease that latency has to follow to keep it. */
-#define PROBE_FOLLOW 0.5
+#define PROBE_FOLLOW 0.6
 #define PROBE_INTERVAL_US (10 * EEL_US_PER_S)
 #define REFUSED_FACTOR 0.9
 #define GROWTH 0.05
@@ -44,6 +44,7 @@
 {
   admission->window_started_us = now_us;
   admission->window_samples = 0;
+  admission->window_log_sum = 0;
   admission->window_in_flight_max = admission->in_flight;
 }
 
@@ -103,38 +104,14 @@
                                              : BASE_RISE);
 }
 
-static int
-compare_latency (const void *a, const void *b)
-{
-  uint32_t left = *(const uint32_t *)a;
-  uint32_t right = *(const uint32_t *)b;
-
-  return (left > right) - (left < right);
-}
-
-/*
- * Returns the median latency of the window.  A mean would follow the share of
- * long work that is not yet known as long.
- */
-static double
-window_median (struct eel_admission *admission)
-{
-  uint32_t count = admission->window_samples < EEL_ADMISSION_WINDOW
-                       ? admission->window_samples
-                       : EEL_ADMISSION_WINDOW;
-
-  qsort (admission->window_latency_us, count,
-         sizeof admission->window_latency_us[0], compare_latency);
-  return admission->window_latency_us[count / 2];
-}
-
 static void
 finish_window (struct eel_admission *admission, int64_t now_us)
 {
   int bound = admission->window_in_flight_max >= admission->limit * BOUND_SHARE;
   double growth = admission->limit * GROWTH;
 
-  admission->short_latency_us = window_median (admission);
+  admission->short_latency_us
+      = exp (admission->window_log_sum / admission->window_samples);
   if (admission->probe.active)
     finish_probe (admission, bound, now_us);
   else
@@ -167,6 +144,8 @@
 /*
  * Takes the end of a piece of work into account; in_flight no longer counts
  * it.  Long work is left out: its mix would look like a change of latency.
+ * Latencies are averaged as logarithms, because a mean would follow the share
+ * of long work that is not yet known as long.
  */
 void
 eel_limit_done (struct eel_admission *admission,
@@ -180,8 +159,7 @@
     return;
   if (admission->probe.active && work->started_us < admission->probe.started_us)
     return;
-  admission->window_latency_us[admission->window_samples % EEL_ADMISSION_WINDOW]
-      = (uint32_t)(now_us - work->started_us);
+  admission->window_log_sum += log ((double)(now_us - work->started_us) + 1);
   admission->window_samples++;
   if (admission->window_samples >= WINDOW_SAMPLES
       && now_us - admission->window_started_us >= WINDOW_US)
