Leave queued work more margin before its deadline

With other work waiting, two deviations instead of one must be left, and the expected wait uses the mean service time of short work instead of the median.

--- a/include/eelgrasslatch/admission.h
+++ b/include/eelgrasslatch/admission.h
@@ -115,7 +115,7 @@
   int64_t swept_at_us;
   struct eel_limit_probe probe;
   double window_log_sum;
-  /* Mean over all routes and median of service times. */
+  /* Mean service time of short work, and median of all. */
   double mean_us;
   double median_us;
   /* Offered work in slots, and when each was last decayed. */
--- a/src/admission/queue.c
+++ b/src/admission/queue.c
@@ -104,7 +104,7 @@
   ahead = ahead > admission->long_queued ? ahead - admission->long_queued : 0;
   slots = slots > admission->long_in_flight ? slots - admission->long_in_flight
                                             : 1;
-  return (int64_t)(ahead * admission->median_us / slots);
+  return (int64_t)(ahead * admission->mean_us / slots);
 }
 
 /* Returns the number of queued entries of classes below that of the list. */
--- a/src/admission/route_time.c
+++ b/src/admission/route_time.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define PROBES 8
+/* Mean absolute deviations above the mean that queued work must have left;
+ * a twentieth to a tenth of the work takes longer. */
+#define LATE_DEVIATIONS 2
 /* Weight of a new sample; first samples weigh more. */
 #define SAMPLE_WEIGHT 16
 /* A route is judged long only after a few samples. */
@@ -100,7 +103,7 @@
     return 0;
   need_us = route->mean_us;
   if (admission->queued > admission->limit / 2)
-    need_us += route->deviation_us;
+    need_us += route->deviation_us * LATE_DEVIATIONS;
   if (need_us <= remaining_us)
     return 0;
   interval_us = remaining_us * TRIAL_SHARE / admission->config.slots;
@@ -174,7 +177,8 @@
   route->mean_us += error_us / weight;
   route->deviation_us
       += ((error_us < 0 ? -error_us : error_us) - route->deviation_us) / weight;
-  admission->mean_us += ((double)took_us - admission->mean_us)
-                        / (admission->mean_us <= 0 ? 1 : SAMPLE_WEIGHT);
+  if (!work->is_long)
+    admission->mean_us += ((double)took_us - admission->mean_us)
+                          / (admission->mean_us <= 0 ? 1 : SAMPLE_WEIGHT);
   learn_median (admission, took_us);
 }
