Bound the trickle of the entry throttle by a number of requests

Callers that resend four times made two percent of lookups as many as the endpoints can serve; each ran at the first service and was refused below. At most four requests of a class in a window pass now while all are refused.

--- a/src/admission/throttle.c
+++ b/src/admission/throttle.c
@@ -16,8 +16,10 @@
 #define FAILING_SHARE 0.1
 /* Requests in the window below which nothing is refused. */
 #define SLACK 5.0
-/* A trickle passes at all times, to see the end of the cause. */
-#define REFUSE_MOST 0.98
+/* A trickle passes at all times, to see the end of the cause: this share, and
+ * at most so many requests of a class in a window, whatever callers resend. */
+#define TRICKLE_SHARE 0.02
+#define TRICKLE_REQUESTS 4.0
 #define RECENT_PART 4
 #define PROBES 8
 
@@ -110,6 +112,7 @@
   struct eel_throttle_route *route;
   double left;
   double refuse;
+  double trickle;
 
   if (throttle->capacity == 0)
     return 1;
@@ -121,8 +124,11 @@
   for (int i = EEL_CLASS_COUNT - 1; i > (int)klass; i--)
     left -= route->requests[i];
   refuse = left / (route->requests[klass] + 1);
-  if (refuse > REFUSE_MOST)
-    refuse = REFUSE_MOST;
+  trickle = TRICKLE_REQUESTS / (route->requests[klass] + 1);
+  if (trickle > TRICKLE_SHARE)
+    trickle = TRICKLE_SHARE;
+  if (refuse > 1 - trickle)
+    refuse = 1 - trickle;
   if (eel_rng_unit (rng) >= refuse)
     return 1;
   route->requests[klass]++;
