Refuse queued lookups that will hardly be served any more

While orders are refused, or newest-first after five sojourn targets, old lookups stayed queued up to their deadline and nested ones held their parent's slot for it. They are refused at once now.

--- a/src/admission/admission.c
+++ b/src/admission/admission.c
@@ -6,6 +6,8 @@
 #define HOLD_US EEL_US_PER_S
 /* Late work is searched for in the whole queue this often. */
 #define SWEEP_US (5 * EEL_US_PER_MS)
+/* Newest first, lookups that waited so many sojourn targets are refused. */
+#define STALE_TARGETS 5
 
 /* Starts with the limit at the configured slots and an empty queue. */
 void
@@ -235,7 +237,26 @@
   return 1;
 }
 
-/* Returns an entry that is too late, looking at most once in SWEEP_US. */
+/*
+ * Returns 1 for queued work below orders that will hardly be served any more:
+ * while orders are refused, or old while newest go first.  Nested work would
+ * hold its parent's slot up to its deadline for nothing.
+ */
+static int
+is_stale (const struct eel_admission *admission,
+          const struct eel_admission_queued *entry,
+          int64_t now_us)
+{
+  if (entry->work.klass == EEL_CLASS_CRITICAL)
+    return 0;
+  return now_us < admission->held_until_us
+         || (eel_pick_newest_first (admission, entry->list, now_us)
+             && now_us - entry->work.arrived_us
+                    > admission->config.queue_target_us * STALE_TARGETS);
+}
+
+/* Returns an entry that is too late or stale, looking at most once in SWEEP_US.
+ */
 static uint32_t
 sweep (struct eel_admission *admission, int64_t now_us)
 {
@@ -244,7 +265,8 @@
   for (uint32_t list = 0; list < EEL_ADMISSION_LISTS; list++)
     for (uint32_t i = admission->heads[list]; i != EEL_ADMISSION_NONE;
          i = admission->queue[i].next)
-      if (eel_route_too_late (admission, &admission->queue[i].work, now_us))
+      if (is_stale (admission, &admission->queue[i], now_us)
+          || eel_route_too_late (admission, &admission->queue[i].work, now_us))
         return i;
   admission->swept_at_us = now_us;
   return EEL_ADMISSION_NONE;
