--- a/bench/policy_model.c
+++ b/bench/policy_model.c
@@ -6,7 +6,7 @@
 #include "policy_state.h"
 
 #define SPARE_ATTEMPTS 3
-#define THROTTLE_WINDOW_US EEL_US_PER_S
+#define THROTTLE_WINDOW_US (250 * EEL_US_PER_MS)
 
 /* Returns the array, moved if needed, with room for one more element. */
 void *
--- a/src/admission/share.c
+++ b/src/admission/share.c
@@ -10,6 +10,7 @@
 #define RESERVE_DEVIATIONS 2.5
 /* Slots above the estimated need, which leaves out refused long work. */
 #define NEED_EXTRA 0.5
+#define SHORT_IDLE 0.05
 #define FAIR_TIME_US (1.0 * EEL_US_PER_S)
 
 /*
@@ -47,11 +48,14 @@
   double limit = floor (admission->limit);
   double need = admission->demand_long;
   double used = admission->demand_short;
-  double unused
-      = limit - used - RESERVE_DEVIATIONS * sqrt (used) - (used > 0.05 ? 1 : 0);
+  double unused;
   double most = limit * admission->config.long_share_max_percent / 100;
   double allowed = ceil (need + NEED_EXTRA);
 
+  /* Without short work nothing is kept for it. */
+  if (used < SHORT_IDLE)
+    used = 0;
+  unused = limit - used - RESERVE_DEVIATIONS * sqrt (used) - (used > 0 ? 1 : 0);
   if (need + used > 0 && allowed > limit * need / (need + used))
     allowed = limit * need / (need + used);
   if (allowed > most)
