Expect longer replies from an endpoint that reports a queue

In a demand swing the endpoint whose queue filled first looked like a straggler and was ejected, which cost a third of the slots. The time that is too slow now grows with the queue that the reply reports. A unit guards it and fails without the change.

--- a/src/routing/straggler.c
+++ b/src/routing/straggler.c
@@ -53,6 +53,18 @@
   return median * routing->config.straggler_factor;
 }
 
+/*
+ * Returns how much longer a call takes by the endpoint's own queue.  The
+ * endpoint that is full first must not look slow for that.
+ */
+static double
+queue_factor (const struct eel_endpoint *endpoint)
+{
+  if (endpoint->load.limit == 0)
+    return 1;
+  return 1 + (double)endpoint->load.queued / endpoint->load.limit;
+}
+
 static void
 eject (struct eel_routing *routing,
        struct eel_endpoint *endpoint,
@@ -163,7 +175,7 @@
                    int64_t latency_us,
                    int64_t now_us)
 {
-  double slow_us = slow_above_us (routing, endpoint);
+  double slow_us = slow_above_us (routing, endpoint) * queue_factor (endpoint);
   int bad = kind != EEL_REPLY_OK;
 
   if (kind == EEL_REPLY_SHED)
--- a/tests/unit/test_routing.cc
+++ b/tests/unit/test_routing.cc
@@ -212,3 +212,20 @@
       EXPECT_EQ (kept, 11u) << self;
     }
 }
+
+// Guards against ejecting the endpoint whose queue fills first in an overload.
+TEST (routing, an_endpoint_with_a_queue_is_not_a_straggler)
+{
+  fake_sender sender (3, 3);
+  struct eel_load full = { 100, 190, 100, EEL_CLASS_COUNT, 0 };
+
+  sender.calls (300);
+  for (int i = 0; i < 500; i++)
+    {
+      sender.call ();
+      eel_routing_sent (&sender.routing, 0, sender.now_us);
+      eel_routing_replied (&sender.routing, 0, EEL_REPLY_OK, &full, 40 * MS,
+                           sender.now_us);
+    }
+  EXPECT_EQ (sender.routing.ejections, 0u);
+}
