--- a/src/admission/share.c
+++ b/src/admission/share.c
@@ -8,9 +8,8 @@
 /* Slots above the mean demand of short work that are kept for it, in
  * standard deviations of a Poisson count. */
 #define RESERVE_DEVIATIONS 2.5
-/* Slots above the estimated need, which leaves out refused long work; half a
- * slot made short work wait at 10 slots. */
-#define NEED_EXTRA 0.25
+/* Slots above the estimated need, which leaves out refused long work. */
+#define NEED_EXTRA 0.5
 #define SHORT_IDLE 0.05
 #define FAIR_TIME_US (1.0 * EEL_US_PER_S)
 
