--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -2,8 +2,9 @@
 
 #include <math.h>
 
-/* A window ends after both. */
-#define WINDOW_SAMPLES 100
+/* A window ends after both.  At 10 slots and 200 ms, 100 samples of a probe
+ * cost a fifth of the slots for more than 2 s. */
+#define WINDOW_SAMPLES 60
 #define WINDOW_US (100 * EEL_US_PER_MS)
 /* Latency above this multiple of the long-term one starts a probe. */
 #define TOLERANCE 1.5
