Fuzz the at-most-once logic in virtual time

Six nodes in three failure domains run the real decider, executor and coordinator over a fake network that loses, repeats, delays and cuts, with nodes that pause, restart, are replaced and drain, upstreams that refuse and crash, and callers that resend, send two copies at once or share a key. The oracle checks runs per key and per call, every "not run" to the end of the trace, attempts of a whole request against its calls plus spare attempts, whole answers, valid-until and promptness.

The fuzz found one fault: a copy that arrives after its own deadline opened an order for an unresolved attempt and waited for a seal. It is refused at once now.

--- a/src/execution/coordinator.c
+++ b/src/execution/coordinator.c
@@ -149,6 +149,11 @@
 {
   struct eel_pending *pending = eel_pending_of (coordinator, record);
 
+  if (now_us >= arrival->deadline_us)
+    {
+      refuse (coordinator, arrival, EEL_ERROR_IN_PROGRESS, out);
+      return;
+    }
   if (pending == NULL && coordinator->waiter_free != EEL_INDEX_NONE)
     {
       pending = eel_pending_open (coordinator, record, arrival->deadline_us,
--- /dev/null
+++ b/tests/fuzz/exsim_upstream.c
@@ -0,0 +1,231 @@
+#include "exsim.h"
+
+const uint8_t exsim_secret[EEL_KEY_SECRET_BYTES] = { 4, 2 };
+
+/* Sends one copy of a nested call with half of the spare attempts. */
+static void
+send_nested (struct exsim *s, struct run *run, uint8_t child)
+{
+  struct call *call
+      = exsim_call_new (s, run->order, run->position * 4 + child + 1);
+  struct event late = { .kind = STEP_NESTED_LATE, .call = call->id };
+  char label[2] = { 'n', (char)('0' + child) };
+
+  run->sends[child]++;
+  call->run = run->id;
+  call->child = child;
+  call->entry = run->node;
+  call->lent = eel_ledger_lend (&run->ledger);
+  call->deadline_us = s->calls[run->call % CALLS].deadline_us;
+  eel_key_derive_child (&call->key, &run->key, label, 2, exsim_secret);
+  exsim_later (s, &late, run->node,
+               exsim_wait (s, SECOND) + (run->sends[child] > 2 ? SECOND : 0));
+  exsim_enter (s, run->node, call);
+}
+
+/* Sends a nested call again with the same label, as upstream code does. */
+static int
+resend_nested (struct exsim *s, struct run *run, uint8_t child)
+{
+  if (run->sends[child] > 3
+      || s->now_us >= s->calls[run->call % CALLS].deadline_us
+      || !(s->blind || eel_ledger_take (&run->ledger)))
+    return 0;
+  send_nested (s, run, child);
+  return 1;
+}
+
+/* Ends the run once every nested call has ended. */
+static void
+child_ended (struct exsim *s, struct run *run)
+{
+  struct event e = { .kind = STEP_END, .run = run->id };
+
+  if (run->open_children > 0 && --run->open_children > 0)
+    return;
+  exsim_later (s, &e, run->node, exsim_spread (&s->rng, MS, 200 * MS));
+}
+
+/* A nested call's answer, or its caller's patience, has come. */
+void
+exsim_nested_told (struct exsim *s,
+                   struct call *call,
+                   const struct event *answer)
+{
+  struct run *run = &s->runs[call->run % CALLS];
+
+  if (call->answered)
+    return;
+  call->answered = 1;
+  if (run->id != call->run || !run->running
+      || s->nodes[run->node].incarnation != run->incarnation)
+    return;
+  if (answer != NULL)
+    eel_ledger_return (&run->ledger, call->lent, answer->spare);
+  if (answer != NULL && answer->outcome != EEL_OUTCOME_REFUSED
+      && answer->retry != EEL_RETRY_SAME_KEY)
+    child_ended (s, run);
+  else if (!resend_nested (s, run, call->child))
+    child_ended (s, run);
+}
+
+/* A copy has got an answer at its entry. */
+void
+exsim_told (struct exsim *s, struct call *call, const struct event *event)
+{
+  exsim_oracle_told (s, call, event);
+  exsim_note (s, call->order, eel_outcome_name (event->outcome), call->entry,
+              call->position, call->id);
+  if (call->run != 0)
+    exsim_nested_told (s, call, event);
+  else
+    exsim_world_handle (s,
+                        &(struct event){ .kind = MSG_ANSWER,
+                                         .call = call->id,
+                                         .error = event->error,
+                                         .outcome = event->outcome,
+                                         .retry = event->retry,
+                                         .next_key = event->next_key,
+                                         .has_next_key = event->has_next_key });
+}
+
+static void
+reply (struct exsim *s,
+       const struct run *run,
+       enum eel_attempt_result result,
+       enum eel_error error)
+{
+  struct event e = { .kind = MSG_REPLY,
+                     .key = run->key,
+                     .attempt = run->attempt,
+                     .call = run->call,
+                     .code = (int)result,
+                     .error = error,
+                     .spare = run->ledger.spare };
+
+  if (result == EEL_ATTEMPT_RAN)
+    {
+      e.has_answer = 1;
+      e.answer_bytes
+          = exsim_expected_answer (run->order, run->position, e.answer);
+    }
+  exsim_note (s, run->order, "replies", run->node, run->position, result);
+  exsim_send (s, &e, run->node, run->decider);
+}
+
+void
+exsim_execute (struct exsim *s, struct event *e)
+{
+  struct node *n = &s->nodes[e->node];
+  const struct call *call = &s->calls[e->call % CALLS];
+  struct run *run = &s->runs[++s->next_run % CALLS];
+  struct event start = { .kind = STEP_START, .run = s->next_run };
+  int busy = s->now_us < s->until_us[FAULT_OVERLOAD];
+  enum eel_accept accepted = EEL_ACCEPT_OK;
+
+  if (call->id != e->call)
+    return;
+  *run = (struct run){ .id = s->next_run,
+                       .order = call->order,
+                       .position = call->position,
+                       .key = e->key,
+                       .attempt = e->attempt,
+                       .node = e->node,
+                       .decider = e->from,
+                       .incarnation = n->incarnation,
+                       .call = e->call,
+                       .valid_until_us = e->valid_until_us };
+  eel_ledger_init (&run->ledger, e->spare);
+  if (!s->blind)
+    accepted = eel_executor_accept (&n->executor, &e->key, e->attempt,
+                                    e->valid_until_us, e->run,
+                                    exsim_clock (s, e->node));
+  exsim_note (s, run->order, "accept", e->node, run->position, accepted);
+  if (accepted == EEL_ACCEPT_OK)
+    exsim_later (s, &start, e->node, exsim_wait (s, busy ? 500 * MS : 20 * MS));
+  else if (accepted != EEL_ACCEPT_DUPLICATE)
+    reply (s, run, EEL_ATTEMPT_REFUSED,
+           accepted == EEL_ACCEPT_FULL ? EEL_ERROR_TABLE_FULL
+                                       : EEL_ERROR_DEADLINE);
+}
+
+/* The attempt has left the queue and goes to the upstream. */
+static void
+start (struct exsim *s, struct run *run)
+{
+  struct eel_executor *x = &s->nodes[run->node].executor;
+  int64_t now_us = exsim_clock (s, run->node);
+  int busy = s->now_us < s->until_us[FAULT_OVERLOAD];
+  int shed = exsim_chance (s, busy ? 30 : 2);
+  int refuses = exsim_chance (s, busy ? 40 : 2);
+
+  if (!shed && !s->blind
+      && eel_executor_start (x, &run->key, run->attempt, now_us)
+             != EEL_ACCEPT_OK)
+    {
+      reply (s, run, EEL_ATTEMPT_REFUSED, EEL_ERROR_DEADLINE);
+      return;
+    }
+  if (!shed && !s->blind && now_us >= run->valid_until_us)
+    exsim_fail (s, run->order, "an attempt started after its valid-until");
+  if (!shed)
+    exsim_oracle_attempt (s, run, !refuses);
+  exsim_note (s, run->order, shed || refuses ? "refuses" : "runs", run->node,
+              run->position, run->attempt);
+  if (shed || refuses)
+    {
+      eel_executor_not_run (x, &run->key, run->attempt);
+      reply (s, run, EEL_ATTEMPT_REFUSED,
+             shed ? EEL_ERROR_OVERLOADED : EEL_ERROR_UPSTREAM_REFUSED);
+      return;
+    }
+  run->running = 1;
+  run->open_children = (uint8_t)exsim_children (run->order, run->position);
+  if (run->open_children == 0)
+    child_ended (s, run);
+  else
+    for (uint8_t i = 0, count = run->open_children; i < count; i++)
+      exsim_later (
+          s, &(struct event){ .kind = STEP_NESTED, .run = run->id, .code = i },
+          run->node, exsim_wait (s, 20 * MS));
+}
+
+static void
+end (struct exsim *s, struct run *run, int crashed)
+{
+  run->running = 0;
+  eel_executor_done (&s->nodes[run->node].executor, &run->key, run->attempt);
+  reply (s, run, crashed ? EEL_ATTEMPT_UNKNOWN : EEL_ATTEMPT_RAN,
+         crashed ? EEL_ERROR_UPSTREAM_FAILED : EEL_OK);
+}
+
+/* Every connection to the upstream breaks. */
+void
+exsim_node_crash_upstream (struct exsim *s, uint8_t node)
+{
+  for (uint32_t i = 0; i < CALLS; i++)
+    if (s->runs[i].running && s->runs[i].node == node
+        && s->runs[i].incarnation == s->nodes[node].incarnation)
+      end (s, &s->runs[i], 1);
+}
+
+void
+exsim_run_step (struct exsim *s, const struct event *e)
+{
+  struct run *run = &s->runs[e->run % CALLS];
+
+  if (run->id != e->run)
+    return;
+  if (e->kind == STEP_START)
+    start (s, run);
+  else if (!run->running)
+    return;
+  else if (e->kind == STEP_END)
+    end (s, run, 0);
+  else
+    {
+      send_nested (s, run, (uint8_t)e->code);
+      if (exsim_chance (s, 5) && run->ledger.spare > 0)
+        resend_nested (s, run, (uint8_t)e->code);
+    }
+}
--- /dev/null
+++ b/tests/fuzz/exsim_world.c
@@ -0,0 +1,263 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "exsim.h"
+
+const char *const exsim_faults[FAULT_COUNT]
+    = { "loss",    "duplicate", "delay", "partition", "pause",
+        "restart", "replace",   "crash", "overload",  "drain" };
+
+/* Takes the next place in the ring of copies. */
+struct call *
+exsim_call_new (struct exsim *s, uint64_t order, uint64_t position)
+{
+  struct call *call = &s->calls[++s->next_call % CALLS];
+
+  *call = (struct call){ .id = s->next_call,
+                         .order = order,
+                         .position = position };
+  return call;
+}
+
+/* Fetches a key from a node for an order; its attempts add to the bound. */
+static int
+add_key (struct exsim *s, struct order *o)
+{
+  struct node *n = &s->nodes[eel_rng_below (&s->rng, NODES)];
+  uint8_t spare = (uint8_t)eel_rng_below (&s->rng, 7);
+  char text[EEL_KEY_TEXT_MAX];
+  struct eel_key key;
+
+  if (s->now_us < n->paused_until_us
+      || eel_decider_issue (&n->coordinator.decider, spare, 20 * SECOND,
+                            s->now_us + n->clock_offset_us, &key)
+             != EEL_OK)
+    return 0;
+  o->allowed += spare + (o->allowed > 0);
+  eel_key_encode (&key, text);
+  return eel_caller_add_key (&s->caller, text, 20 * SECOND, s->now_us);
+}
+
+static void
+send_at (struct exsim *s, struct order *o, uint8_t thread, int64_t at_us)
+{
+  o->current[thread] = 0;
+  exsim_push (s,
+              &(struct event){ .kind = STEP_SEND,
+                               .order = o->id,
+                               .code = thread,
+                               .run = ++o->token[thread] },
+              at_us);
+}
+
+/* A new order, by one caller or by two that share its key. */
+static void
+new_order (struct exsim *s)
+{
+  struct order *o = &s->orders[++s->next_order % ORDERS];
+
+  exsim_push (s, &(struct event){ .kind = STEP_ORDER },
+              s->now_us + eel_rng_below (&s->rng, 200 * MS));
+  exsim_tally (s, o);
+  memset (o, 0, sizeof *o);
+  o->id = s->next_order;
+  o->threads = exsim_chance (s, 15) ? 2 : 1;
+  o->deadline_us = s->now_us + SECOND + eel_rng_below (&s->rng, 3 * SECOND);
+  s->caller.key_count = 0;
+  if (!add_key (s, o)
+      || eel_caller_begin (&s->caller, &o->request[0], o->deadline_us,
+                           s->now_us)
+             != EEL_CALLER_SEND)
+    {
+      o->id = 0;
+      return;
+    }
+  o->request[1] = o->request[0];
+  for (uint8_t i = 0; i < o->threads; i++)
+    send_at (s, o, i, s->now_us + eel_rng_below (&s->rng, 50 * MS));
+}
+
+/* Sends one copy through any node, and often a second one at once. */
+static void
+send_copies (struct exsim *s, const struct event *e)
+{
+  struct order *o = &s->orders[e->order % ORDERS];
+  int thread = e->code;
+
+  if (o->id != e->order || o->ended[thread] || o->token[thread] != e->run)
+    return;
+  for (int copies = exsim_chance (s, 15) ? 2 : 1; copies > 0; copies--)
+    {
+      struct call *call = exsim_call_new (s, o->id, 0);
+      struct event arrival = { .kind = STEP_ARRIVE, .call = call->id };
+
+      call->thread = (uint8_t)thread;
+      call->deadline_us = o->deadline_us;
+      call->entry = (uint8_t)eel_rng_below (&s->rng, NODES);
+      eel_key_decode (&call->key, o->request[thread].key);
+      o->current[thread] = call->id;
+      arrival.node = call->entry;
+      if (s->now_us >= s->until_us[FAULT_LOSS] || !exsim_chance (s, 20))
+        exsim_push (s, &arrival, s->now_us + 1 * MS);
+      exsim_push (s, &(struct event){ .kind = STEP_LATE, .call = call->id },
+                  s->now_us + 200 * MS + eel_rng_below (&s->rng, 600 * MS));
+    }
+}
+
+/* The caller's next step after an answer, or a lost connection. */
+static void
+answered (struct exsim *s, struct call *call, const struct event *answer)
+{
+  struct order *o = &s->orders[call->order % ORDERS];
+  struct eel_caller_request *request = &o->request[call->thread];
+  enum eel_outcome outcome
+      = answer != NULL ? answer->outcome : EEL_OUTCOME_UNKNOWN;
+  enum eel_retry_advice advice
+      = answer != NULL ? answer->retry : EEL_RETRY_SAME_KEY;
+  enum eel_caller_step step;
+  char next[EEL_KEY_TEXT_MAX] = "";
+  struct eel_key key;
+  int64_t at_us;
+
+  if (call->answered || o->id != call->order || o->ended[call->thread])
+    return;
+  call->answered = 1;
+  eel_key_decode (&key, request->key);
+  if (outcome != EEL_OUTCOME_RAN && o->current[call->thread] != call->id
+      && (outcome != EEL_OUTCOME_NOT_RUN || !eel_key_equal (&key, &call->key)))
+    return;
+  if (answer != NULL && answer->has_next_key)
+    eel_key_encode (&answer->next_key, next);
+  s->caller.key_count = 0;
+  if (advice == EEL_RETRY_NEW_KEY && next[0] == 0 && o->threads == 1)
+    add_key (s, o);
+  step = eel_caller_answered (&s->caller, request, outcome, advice, 0, next,
+                              s->now_us, &at_us);
+  if (step == EEL_CALLER_SEND)
+    send_at (s, o, call->thread, at_us);
+  else
+    {
+      o->ended[call->thread] = 1;
+      o->told_unknown
+          |= outcome != EEL_OUTCOME_RAN && outcome != EEL_OUTCOME_NOT_RUN;
+    }
+}
+
+static void
+fault (struct exsim *s)
+{
+  struct eel_rng *rng = &s->fault_rng;
+  enum fault kind = eel_rng_below (rng, FAULT_COUNT);
+  uint8_t node = (uint8_t)eel_rng_below (rng, NODES);
+  int64_t long_us = exsim_spread (rng, 10 * MS, 40 * SECOND);
+  int64_t window_us = exsim_spread (rng, 200 * MS, 4 * SECOND);
+  int64_t offset_us = eel_rng_below (rng, 60 * SECOND);
+  int64_t next_us = eel_rng_below (rng, 1200 * MS);
+
+  exsim_push (s, &(struct event){ .kind = STEP_FAULT }, s->now_us + next_us);
+  if (!(s->fault_mask & 1u << kind))
+    return;
+  exsim_note (s, 0, exsim_faults[kind], node, 0, (uint64_t)kind);
+  if (kind <= FAULT_PARTITION || kind == FAULT_OVERLOAD)
+    s->until_us[kind] = s->now_us + window_us;
+  if (kind == FAULT_PARTITION)
+    {
+      s->cut[0] = DOMAIN (node);
+      s->cut[1] = (uint8_t)((s->cut[0] + 1) % 3);
+    }
+  else if (kind == FAULT_PAUSE
+           && s->nodes[node].paused_until_us < s->now_us + long_us)
+    s->nodes[node].paused_until_us = s->now_us + long_us;
+  else if (kind == FAULT_CRASH)
+    exsim_node_crash_upstream (s, node);
+  else if (kind == FAULT_DRAIN && s->now_us >= s->nodes[node].paused_until_us)
+    exsim_node_drain (s, node);
+  if (kind == FAULT_REPLACE)
+    s->nodes[node].clock_offset_us = offset_us;
+  if (kind == FAULT_RESTART || kind == FAULT_REPLACE)
+    exsim_node_boot (s, node);
+}
+
+/* Callers' events and faults. */
+void
+exsim_world_handle (struct exsim *s, const struct event *event)
+{
+  struct call *call = &s->calls[event->call % CALLS];
+
+  if (event->kind == STEP_ORDER)
+    new_order (s);
+  else if (event->kind == STEP_SEND)
+    send_copies (s, event);
+  else if (event->kind == STEP_FAULT)
+    fault (s);
+  else if (call->id == event->call)
+    answered (s, call, event->kind == MSG_ANSWER ? event : NULL);
+}
+
+/* Counts what became of an order, for the table of outcomes. */
+void
+exsim_tally (struct exsim *s, const struct order *o)
+{
+  if (o->id == 0)
+    return;
+  s->orders_ended++;
+  s->orders_ran[o->runs[0] > 2 ? 2 : o->runs[0]]++;
+  s->orders_unknown += o->told_unknown;
+}
+
+/* One run in virtual time; the same arguments give the same events. */
+struct exsim *
+exsim_run (const struct exsim_options *options)
+{
+  struct exsim *s = calloc (1, sizeof *s);
+  struct event e;
+
+  if (s == NULL)
+    abort ();
+  eel_rng_init (&s->rng, options->seed);
+  eel_rng_init (&s->fault_rng, ~options->seed);
+  s->fault_mask = options->fault_mask;
+  s->blind = options->blind;
+  s->trace = options->trace;
+  s->trace_order = options->trace_order;
+  eel_caller_init (&s->caller, 8, 20 * MS, 200 * MS, options->seed);
+  for (uint8_t i = 0; i < NODES; i++)
+    {
+      s->nodes[i].clock_offset_us = eel_rng_below (&s->rng, 60 * SECOND);
+      exsim_node_boot (s, i);
+    }
+  exsim_push (s, &(struct event){ .kind = STEP_ORDER }, SECOND);
+  exsim_push (s, &(struct event){ .kind = STEP_FAULT }, 2 * SECOND);
+  while (s->steps < options->steps && s->violation == NULL && exsim_pop (s, &e))
+    {
+      struct node *n = &s->nodes[e.node];
+      int at_node = e.kind <= STEP_ARRIVE;
+
+      s->now_us = e.at_us;
+      if (at_node && e.incarnation != 0 && e.incarnation != n->incarnation)
+        continue;
+      if (at_node && s->now_us < n->paused_until_us)
+        {
+          n->resumed_us = n->paused_until_us;
+          exsim_push (s, &e, n->paused_until_us);
+          continue;
+        }
+      s->steps++;
+      if (at_node)
+        exsim_node_handle (s, &e);
+      else
+        exsim_world_handle (s, &e);
+    }
+  for (uint32_t i = 0; i < ORDERS; i++)
+    exsim_tally (s, &s->orders[i]);
+  return s;
+}
+
+void
+exsim_free (struct exsim *s)
+{
+  for (uint8_t i = 0; i < NODES; i++)
+    eel_coordinator_finish (&s->nodes[i].coordinator);
+  free (s->heap);
+  free (s);
+}
--- /dev/null
+++ b/tools/fuzz.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Runs every fuzz program with SEED and STEPS; fails when one finds a fault.
+set -u
+BUILD=${BUILD:-build}
+SEED=${SEED:-1}
+STEPS=${STEPS:-50000}
+status=0
+for program in "$BUILD"/fuzz_*; do
+	[ -x "$program" ] && [ -f "$program" ] || continue
+	"$program" --seed "$SEED" --steps "$STEPS" || status=1
+done
+exit $status
