--- a/include/eelgrasslatch/coordinator.h
+++ b/include/eelgrasslatch/coordinator.h
@@ -82,7 +82,13 @@
   uint8_t spare;
   uint32_t executor;
   uint64_t executor_incarnation;
+  /* SEAL: the deadline that the attempt was dispatched with. */
   int64_t deadline_us;
+  /*
+   * SEAL: as set by eel_coordinator_valid_until, else INT64_MIN, with which
+   * the executor claims nothing of an attempt that it does not know.
+   */
+  int64_t valid_until_us;
   enum eel_error error;
   enum eel_outcome outcome;
   enum eel_retry_advice retry;
@@ -138,6 +144,14 @@
                                            uint32_t executor,
                                            uint64_t executor_incarnation,
                                            int64_t now_us);
+/*
+ * Keeps the valid-until that is sent with an attempt, in the executor's
+ * clock, for its seal.  One that is computed again later may differ.
+ */
+void eel_coordinator_valid_until (struct eel_coordinator *coordinator,
+                                  const struct eel_key *key,
+                                  uint8_t attempt,
+                                  int64_t valid_until_us);
 /* No executor could be chosen, or the message was certainly not sent. */
 size_t eel_coordinator_not_dispatched (struct eel_coordinator *coordinator,
                                        const struct eel_key *key,
--- a/include/eelgrasslatch/execution.h
+++ b/include/eelgrasslatch/execution.h
@@ -34,6 +34,9 @@
   uint8_t spare;
   uint32_t executor;
   uint64_t executor_incarnation;
+  /* Of the last dispatched attempt: deadline here, valid-until there. */
+  int64_t attempt_deadline_us;
+  int64_t valid_until_us;
   /* Index of the stored answer, or UINT32_MAX. */
   uint32_t answer;
   /* Index of the coordinator's open order, or UINT32_MAX. */
@@ -205,11 +208,16 @@
   uint32_t free_count;
   uint32_t expire_cursor;
   uint64_t refused_full;
+  int64_t keep_us;
+  /* Unseen attempts valid until then are refused: one of them was before. */
+  int64_t refused_until_us;
 };
 
 /*
- * Records are kept this long past valid-until.  Meanwhile an attempt without
- * a record has certainly not run here; after that nothing is known of it.
+ * Records are kept this long past valid-until unless keep_us is changed after
+ * init.  Meanwhile an attempt without a record has certainly not run here;
+ * after that nothing is known of it.  The table needs room for the rate of
+ * attempts times the sum of their time to valid-until and this.
  */
 #define EEL_EXECUTOR_KEEP_US (INT64_C (30) * 1000 * 1000)
 
@@ -262,11 +270,11 @@
                            const struct eel_key *key,
                            uint8_t attempt);
 /*
- * valid_until_us must not be before the one sent with the attempt.
  * Makes a later start of the attempt impossible.  Returns the state that the
  * record has then: sealed when it had not started, else running or done.
  * EEL_EXECUTOR_FREE means that nothing was sealed: the table was full, or the
- * record of the attempt may have been dropped.
+ * record of the attempt may have been dropped.  valid_until_us must be the
+ * one sent with the attempt; a later one would claim too much.
  */
 enum eel_executor_state eel_executor_seal (struct eel_executor *executor,
                                            const struct eel_key *key,
--- a/src/execution/coordinator.c
+++ b/src/execution/coordinator.c
@@ -247,11 +247,42 @@
     return EEL_ERROR_SEALED;
   if (now_us >= pending->deadline_us)
     return EEL_ERROR_DEADLINE;
+  record->attempt_deadline_us = pending->deadline_us;
+  record->valid_until_us = INT64_MIN;
   return eel_decider_dispatch (&coordinator->decider, record, executor,
                                executor_incarnation, now_us);
 }
 
-/* No executor took the attempt, so it will not run: answers "not run". */
+/* Keeps the valid-until that is sent with the outstanding attempt. */
+void
+eel_coordinator_valid_until (struct eel_coordinator *coordinator,
+                             const struct eel_key *key,
+                             uint8_t attempt,
+                             int64_t valid_until_us)
+{
+  struct eel_decider_record *record
+      = eel_decider_find (&coordinator->decider, key);
+
+  if (record != NULL && record->attempt == attempt)
+    record->valid_until_us = valid_until_us;
+}
+
+/* Returns 1 when the attempt is the one that waits to be sent. */
+static int
+is_unsent (struct eel_coordinator *coordinator,
+           struct eel_decider_record *record,
+           uint8_t attempt)
+{
+  if (record->state == EEL_DECIDER_OPEN)
+    return attempt == (uint8_t)(record->attempt + 1);
+  eel_decider_attempt_refused (&coordinator->decider, record, attempt);
+  return record->state == EEL_DECIDER_OPEN;
+}
+
+/*
+ * No executor took the attempt, so it will not run: answers "not run".  It
+ * may have been marked dispatched when the message could then not be sent.
+ */
 size_t
 eel_coordinator_not_dispatched (struct eel_coordinator *coordinator,
                                 const struct eel_key *key,
@@ -265,8 +296,8 @@
       = eel_decider_find (&coordinator->decider, key);
   struct eel_pending *pending = eel_pending_of (coordinator, record);
 
-  if (pending == NULL || pending->finished || record->state != EEL_DECIDER_OPEN
-      || attempt != (uint8_t)(record->attempt + 1))
+  if (pending == NULL || pending->finished
+      || !is_unsent (coordinator, record, attempt))
     return 0;
   record->spare = (uint8_t)(record->spare + pending->lent);
   pending->lent = 0;
--- a/src/execution/coordinator_pending.c
+++ b/src/execution/coordinator_pending.c
@@ -138,7 +138,8 @@
   action->attempt = record->attempt;
   action->executor = record->executor;
   action->executor_incarnation = record->executor_incarnation;
-  action->deadline_us = pending->deadline_us;
+  action->deadline_us = record->attempt_deadline_us;
+  action->valid_until_us = record->valid_until_us;
   pending->sealing = 1;
 }
 
--- a/src/execution/executor.c
+++ b/src/execution/executor.c
@@ -1,12 +1,15 @@
 #include <string.h>
 
+#include "eelgrasslatch/types.h"
 #include "execution/table.h"
 
+/* An eighth of the table is kept for seals, so that they work when full. */
+#define RESERVE_SHARE 8
 /*
- * An eighth of the table is kept for sealed records, so that a full table
- * can still refuse an attempt for certain and answer a seal.
+ * Longest time for which a full table refuses attempts by valid-until: one
+ * attempt with a very long deadline must not close the executor for others.
  */
-#define RESERVE_SHARE 8
+#define REFUSED_UNTIL_MAX_US (10 * EEL_US_PER_S)
 
 /* Starts with an empty table in the caller's arrays. */
 void
@@ -25,6 +28,8 @@
   executor->bucket_count = bucket_count;
   executor->free_list = EEL_INDEX_NONE;
   executor->free_count = capacity;
+  executor->keep_us = EEL_EXECUTOR_KEEP_US;
+  executor->refused_until_us = INT64_MIN;
   for (uint32_t i = capacity; i-- > 0;)
     {
       records[i] = (struct eel_executor_record){ .next = executor->free_list };
@@ -101,10 +106,26 @@
 }
 
 /*
- * Accepts an attempt once.  A full table refuses with a sealed record from
- * its reserve; without even that the message is dropped as a duplicate,
- * because a refusal that is not recorded would not bind a later copy.
+ * Refuses an attempt without a record for it.  A later copy of it has the
+ * same valid-until, so refusing every unseen attempt up to that one makes the
+ * refusal certain; attempts with later ones are still taken.  With a
+ * valid-until too far ahead the message is dropped instead.
  */
+static enum eel_accept
+refuse_full (struct eel_executor *executor,
+             int64_t valid_until_us,
+             int64_t now_us)
+{
+  executor->refused_full++;
+  if (valid_until_us <= executor->refused_until_us)
+    return EEL_ACCEPT_FULL;
+  if (valid_until_us - now_us > REFUSED_UNTIL_MAX_US)
+    return EEL_ACCEPT_DUPLICATE;
+  executor->refused_until_us = valid_until_us;
+  return EEL_ACCEPT_FULL;
+}
+
+/* Accepts an attempt once. */
 enum eel_accept
 eel_executor_accept (struct eel_executor *executor,
                      const struct eel_key *key,
@@ -121,19 +142,13 @@
   if (record != NULL)
     return accept_again (record);
   if (now_us >= valid_until_us)
-    return now_us - valid_until_us < EEL_EXECUTOR_KEEP_US
-               ? EEL_ACCEPT_LATE
-               : EEL_ACCEPT_DUPLICATE;
-  if (executor->free_count > executor->capacity / RESERVE_SHARE)
-    {
-      insert (executor, key, attempt, valid_until_us, EEL_EXECUTOR_ACCEPTED);
-      return EEL_ACCEPT_OK;
-    }
-  executor->refused_full++;
-  if (executor->free_count == 0)
-    return EEL_ACCEPT_DUPLICATE;
-  insert (executor, key, attempt, valid_until_us, EEL_EXECUTOR_SEALED);
-  return EEL_ACCEPT_FULL;
+    return now_us - valid_until_us < executor->keep_us ? EEL_ACCEPT_LATE
+                                                       : EEL_ACCEPT_DUPLICATE;
+  if (valid_until_us <= executor->refused_until_us
+      || executor->free_count <= executor->capacity / RESERVE_SHARE)
+    return refuse_full (executor, valid_until_us, now_us);
+  insert (executor, key, attempt, valid_until_us, EEL_EXECUTOR_ACCEPTED);
+  return EEL_ACCEPT_OK;
 }
 
 /*
@@ -189,8 +204,9 @@
 
 /*
  * Seals an attempt that has not started.  One that was never seen gets a
- * sealed record; past the time for which records are kept it may have run
- * and been forgotten, so nothing is said of it.
+ * sealed record.  Past half the time for which records are kept nothing is
+ * said of it, because it may have run and been forgotten: half is left for
+ * deciders that do not know valid-until exactly.
  */
 enum eel_executor_state
 eel_executor_seal (struct eel_executor *executor,
@@ -207,7 +223,7 @@
         record->state = EEL_EXECUTOR_SEALED;
       return (enum eel_executor_state)record->state;
     }
-  if (now_us - valid_until_us >= EEL_EXECUTOR_KEEP_US
+  if (valid_until_us <= now_us - executor->keep_us / 2
       || executor->free_count == 0)
     return EEL_EXECUTOR_FREE;
   insert (executor, key, attempt,
@@ -251,7 +267,7 @@
       executor->expire_cursor = (index + 1) % executor->capacity;
       if (record->state == EEL_EXECUTOR_FREE
           || record->state == EEL_EXECUTOR_RUNNING
-          || now_us - record->valid_until_us < EEL_EXECUTOR_KEEP_US)
+          || now_us - record->valid_until_us < executor->keep_us)
         continue;
       drop (executor, index);
       dropped++;
--- a/tests/fuzz/exsim.h
+++ b/tests/fuzz/exsim.h
@@ -25,7 +25,9 @@
 #define ORDERS 8192
 #define ROOTS 512
 #define CHILDREN 1024
-#define EXECUTIONS 256
+/* Few enough to be full at times. */
+#define EXECUTIONS 32
+#define EXECUTIONS_MAX 1024
 #define ANSWERS 64
 
 enum fault
@@ -162,6 +164,15 @@
   struct seen_key keys[KEYS_MAX];
 };
 
+/* What a node knows of a peer from its messages. */
+struct view
+{
+  uint64_t incarnation;
+  uint64_t told_incarnation;
+  int64_t clock_us;
+  int64_t at_us;
+};
+
 struct node
 {
   uint64_t incarnation;
@@ -176,16 +187,11 @@
   struct eel_answer_slot answers[ANSWERS];
   struct eel_pending pending[64];
   struct eel_waiter waiters[128];
-  struct eel_executor_record executions[EXECUTIONS];
+  struct eel_executor_record executions[EXECUTIONS_MAX];
   uint32_t execution_buckets[128];
   /* The first copy of each record. */
   uint64_t payload[ROOTS + CHILDREN];
-  struct
-  {
-    uint64_t incarnation;
-    int64_t clock_us;
-    int64_t at_us;
-  } view[NODES];
+  struct view view[NODES];
 };
 
 struct exsim
@@ -212,6 +218,7 @@
   uint8_t cut[2];
   uint32_t fault_mask;
   int blind;
+  int calm;
   uint64_t trace_order;
   int trace;
   const char *violation;
@@ -283,6 +290,8 @@
   uint64_t steps;
   uint32_t fault_mask;
   int blind;
+  /* Patient callers, quick upstreams and room in every table. */
+  int calm;
   int trace;
   /* Print only this order's events; 0 prints all. */
   uint64_t trace_order;
--- a/tests/fuzz/exsim_net.c
+++ b/tests/fuzz/exsim_net.c
@@ -106,7 +106,7 @@
   if (s->now_us < s->until_us[FAULT_DELAY] && exsim_chance (s, 30))
     delay += exsim_spread (&s->rng, MS, 60 * SECOND);
   exsim_push (s, event, s->now_us + delay);
-  if (s->now_us < s->until_us[FAULT_DUPLICATE] && exsim_chance (s, 40))
+  if (s->now_us < s->until_us[FAULT_DUPLICATE] && exsim_chance (s, 60))
     exsim_push (s, event,
                 s->now_us + exsim_spread (&s->rng, MS / 2, 60 * SECOND));
 }
--- a/tests/fuzz/exsim_node.c
+++ b/tests/fuzz/exsim_node.c
@@ -24,8 +24,10 @@
   eel_coordinator_init (&n->coordinator, &decider, n->pending, 64, n->waiters,
                         128, SEAL_TIMEOUT);
   n->coordinator.key_life_us = 20 * SECOND;
-  eel_executor_init (&n->executor, n->incarnation, n->executions, EXECUTIONS,
+  eel_executor_init (&n->executor, n->incarnation, n->executions,
+                     s->calm ? EXECUTIONS_MAX : EXECUTIONS,
                      n->execution_buckets, 128);
+  n->executor.keep_us = 2 * SECOND;
   exsim_push (s,
               &(struct event){ .kind = STEP_TICK,
                                .node = node,
@@ -87,13 +89,15 @@
       if (a->kind == EEL_ACTION_EXECUTE)
         {
           e.kind = STEP_DISPATCH;
-          exsim_later (s, &e, node, exsim_wait (s, 5 * MS));
+          exsim_later (s, &e, node,
+                       exsim_wait (s, !s->calm && exsim_chance (s, 5)
+                                          ? 2 * SECOND
+                                          : 5 * MS));
         }
       else if (a->kind == EEL_ACTION_SEAL)
         {
           e.kind = MSG_SEAL;
-          e.valid_until_us
-              = valid_until (s, node, (uint8_t)a->executor, a->deadline_us);
+          e.valid_until_us = a->valid_until_us;
           exsim_send (s, &e, node, (uint8_t)a->executor);
         }
       else if (call->id == a->call_id)
@@ -171,7 +175,7 @@
 
   if (exsim_chance (s, 70))
     to = (uint8_t)(DOMAIN (node) * 2 + to % 2);
-  if (n->view[to].incarnation == 0 || exsim_chance (s, 2))
+  if (n->view[to].incarnation == 0 || (!s->calm && exsim_chance (s, 2)))
     {
       act (s, node, actions,
            eel_coordinator_not_dispatched (&n->coordinator, &e->key, e->attempt,
@@ -189,6 +193,8 @@
   e->call = n->payload[record - n->records];
   e->run = n->view[to].incarnation;
   e->valid_until_us = valid_until (s, node, to, e->valid_until_us);
+  eel_coordinator_valid_until (&n->coordinator, &e->key, e->attempt,
+                               e->valid_until_us);
   exsim_note (s, s->calls[e->call % CALLS].order, "dispatched to", node,
               s->calls[e->call % CALLS].position, to);
   exsim_send (s, e, node, to);
@@ -253,26 +259,32 @@
     exsim_send (s, &(struct event){ .kind = MSG_GOSSIP }, node, peer);
 }
 
-/* Learns incarnation and clock of the sender before its message is used. */
+/*
+ * Learns incarnation and clock of the sender.  The coordinator hears of a
+ * restart only by gossip, so that messages of the new incarnation come first.
+ */
 static void
 learn (struct exsim *s, const struct event *e)
 {
   struct node *n = &s->nodes[e->node];
+  struct view *view = &n->view[e->from];
   struct eel_action actions[EEL_ACTIONS_MAX];
-  int newer = e->from_incarnation > n->view[e->from].incarnation;
 
-  if (!newer
-      && (e->from_incarnation < n->view[e->from].incarnation
-          || e->sent_clock_us <= n->view[e->from].clock_us))
+  if (e->from_incarnation > view->incarnation
+      || (e->from_incarnation == view->incarnation
+          && e->sent_clock_us > view->clock_us))
+    {
+      view->incarnation = e->from_incarnation;
+      view->clock_us = e->sent_clock_us;
+      view->at_us = exsim_clock (s, e->node);
+    }
+  if (e->kind != MSG_GOSSIP || e->from_incarnation <= view->told_incarnation)
     return;
-  n->view[e->from].incarnation = e->from_incarnation;
-  n->view[e->from].clock_us = e->sent_clock_us;
-  n->view[e->from].at_us = exsim_clock (s, e->node);
-  if (newer)
-    act (s, e->node, actions,
-         eel_coordinator_executor_lost (&n->coordinator, e->from,
-                                        e->from_incarnation,
-                                        exsim_clock (s, e->node), actions));
+  view->told_incarnation = e->from_incarnation;
+  act (s, e->node, actions,
+       eel_coordinator_executor_lost (&n->coordinator, e->from,
+                                      e->from_incarnation,
+                                      exsim_clock (s, e->node), actions));
 }
 
 /* The decider's part of a reply or seal. */
@@ -306,7 +318,8 @@
   answer.outcome = e->code == EEL_ATTEMPT_RAN       ? EEL_OUTCOME_RAN
                    : e->code == EEL_ATTEMPT_REFUSED ? EEL_OUTCOME_REFUSED
                                                     : EEL_OUTCOME_UNKNOWN;
-  answer.retry = EEL_RETRY_SAME_KEY;
+  answer.retry
+      = e->code == EEL_ATTEMPT_RAN ? EEL_RETRY_NONE : EEL_RETRY_SAME_KEY;
   if (call->id == e->call && call->entry == e->node)
     exsim_told (s, call, &answer);
 }
--- a/tests/fuzz/exsim_upstream.c
+++ b/tests/fuzz/exsim_upstream.c
@@ -19,7 +19,9 @@
   call->deadline_us = s->calls[run->call % CALLS].deadline_us;
   eel_key_derive_child (&call->key, &run->key, label, 2, exsim_secret);
   exsim_later (s, &late, run->node,
-               exsim_wait (s, SECOND) + (run->sends[child] > 2 ? SECOND : 0));
+               s->calm ? SECOND
+                       : exsim_wait (s, SECOND)
+                             + (run->sends[child] > 2 ? SECOND : 0));
   exsim_enter (s, run->node, call);
 }
 
@@ -43,7 +45,8 @@
 
   if (run->open_children > 0 && --run->open_children > 0)
     return;
-  exsim_later (s, &e, run->node, exsim_spread (&s->rng, MS, 200 * MS));
+  exsim_later (s, &e, run->node,
+               exsim_spread (&s->rng, MS, (s->calm ? 20 : 500) * MS));
 }
 
 /* A nested call's answer, or its caller's patience, has come. */
@@ -156,8 +159,8 @@
   struct eel_executor *x = &s->nodes[run->node].executor;
   int64_t now_us = exsim_clock (s, run->node);
   int busy = s->now_us < s->until_us[FAULT_OVERLOAD];
-  int shed = exsim_chance (s, busy ? 30 : 2);
-  int refuses = exsim_chance (s, busy ? 40 : 2);
+  int shed = exsim_chance (s, busy ? 30 : s->calm ? 0 : 2);
+  int refuses = exsim_chance (s, busy ? 40 : s->calm ? 0 : 2);
 
   if (!shed && !s->blind
       && eel_executor_start (x, &run->key, run->attempt, now_us)
@@ -180,6 +183,9 @@
       return;
     }
   run->running = 1;
+  if (!s->calm && s->fault_mask & 1u << FAULT_RESTART && exsim_chance (s, 1))
+    exsim_later (s, &(struct event){ .kind = STEP_RESTART }, run->node,
+                 exsim_wait (s, 100 * MS));
   run->open_children = (uint8_t)exsim_children (run->order, run->position);
   if (run->open_children == 0)
     child_ended (s, run);
@@ -225,7 +231,7 @@
   else
     {
       send_nested (s, run, (uint8_t)e->code);
-      if (exsim_chance (s, 5) && run->ledger.spare > 0)
+      if (!s->calm && exsim_chance (s, 5) && run->ledger.spare > 0)
         resend_nested (s, run, (uint8_t)e->code);
     }
 }
--- a/tests/fuzz/exsim_world.c
+++ b/tests/fuzz/exsim_world.c
@@ -61,8 +61,8 @@
   exsim_tally (s, o);
   memset (o, 0, sizeof *o);
   o->id = s->next_order;
-  o->threads = exsim_chance (s, 15) ? 2 : 1;
-  o->deadline_us = s->now_us + SECOND + eel_rng_below (&s->rng, 3 * SECOND);
+  o->threads = !s->calm && exsim_chance (s, 25) ? 2 : 1;
+  o->deadline_us = s->now_us + SECOND + eel_rng_below (&s->rng, 5 * SECOND);
   s->caller.key_count = 0;
   if (!add_key (s, o)
       || eel_caller_begin (&s->caller, &o->request[0], o->deadline_us,
@@ -86,13 +86,16 @@
 
   if (o->id != e->order || o->ended[thread] || o->token[thread] != e->run)
     return;
-  for (int copies = exsim_chance (s, 15) ? 2 : 1; copies > 0; copies--)
+  for (int copies = !s->calm && exsim_chance (s, 15) ? 2 : 1; copies > 0;
+       copies--)
     {
       struct call *call = exsim_call_new (s, o->id, 0);
       struct event arrival = { .kind = STEP_ARRIVE, .call = call->id };
 
       call->thread = (uint8_t)thread;
-      call->deadline_us = o->deadline_us;
+      call->deadline_us = s->now_us + 300 * MS + exsim_wait (s, SECOND);
+      if (call->deadline_us > o->deadline_us || s->calm)
+        call->deadline_us = o->deadline_us;
       call->entry = (uint8_t)eel_rng_below (&s->rng, NODES);
       eel_key_decode (&call->key, o->request[thread].key);
       o->current[thread] = call->id;
@@ -100,7 +103,10 @@
       if (s->now_us >= s->until_us[FAULT_LOSS] || !exsim_chance (s, 20))
         exsim_push (s, &arrival, s->now_us + 1 * MS);
       exsim_push (s, &(struct event){ .kind = STEP_LATE, .call = call->id },
-                  s->now_us + 200 * MS + eel_rng_below (&s->rng, 600 * MS));
+                  s->now_us
+                      + (s->calm
+                             ? SECOND
+                             : 200 * MS + eel_rng_below (&s->rng, 600 * MS)));
     }
 }
 
@@ -218,6 +224,7 @@
   eel_rng_init (&s->fault_rng, ~options->seed);
   s->fault_mask = options->fault_mask;
   s->blind = options->blind;
+  s->calm = options->calm;
   s->trace = options->trace;
   s->trace_order = options->trace_order;
   eel_caller_init (&s->caller, 8, 20 * MS, 200 * MS, options->seed);
--- a/tests/fuzz/fuzz_execution.c
+++ b/tests/fuzz/fuzz_execution.c
@@ -81,6 +81,7 @@
 static void
 compare (struct exsim_options options)
 {
+  options.calm = 1;
   printf ("%-10s %-8s %8s %9s %9s %9s %12s\n", "fault", "mode", "orders",
           "ran once", "ran twice", "not run", "told unknown");
   for (uint32_t i = 0; i <= FAULT_COUNT + 1; i++)
--- a/tests/unit/test_coordinator.cc
+++ b/tests/unit/test_coordinator.cc
@@ -174,6 +174,36 @@
   EXPECT_EQ (dispatch (1, 0), EEL_ERROR_SEALED);
 }
 
+// Guards against an order that waits for its timeout, or is never sealed,
+// because its message could not be sent after it was marked dispatched.
+TEST_F (coordinator_test, unsent_message_is_not_run)
+{
+  begin_dispatched ();
+  EXPECT_EQ (eel_coordinator_not_dispatched (&c, &key, 2, EEL_ERROR_OVERLOADED,
+                                             1, out),
+             0u);
+  ASSERT_EQ (eel_coordinator_not_dispatched (&c, &key, 1, EEL_ERROR_OVERLOADED,
+                                             1, out),
+             1u);
+  EXPECT_EQ (out[0].outcome, EEL_OUTCOME_NOT_RUN);
+  EXPECT_EQ (dispatch (2), EEL_ERROR_SEALED);
+}
+
+// Guards against a seal that a later copy's longer deadline makes valid after
+// the executor has dropped the record of a finished run.
+TEST_F (coordinator_test, seal_names_the_limits_that_were_sent)
+{
+  begin_dispatched ();
+  eel_coordinator_valid_until (&c, &key, 1, 4321);
+  ASSERT_EQ (eel_coordinator_tick (&c, deadline, out), 1u);
+  EXPECT_EQ (out[0].valid_until_us, 4321);
+  ASSERT_EQ (eel_coordinator_tick (&c, 2 * deadline, out), 1u);
+  ASSERT_EQ (arrive (key, 2 * deadline, 0, 9 * deadline), 1u);
+  ASSERT_EQ (out[0].kind, EEL_ACTION_SEAL);
+  EXPECT_EQ (out[0].deadline_us, deadline);
+  EXPECT_EQ (out[0].valid_until_us, 4321);
+}
+
 // Guards against more attempts than the record has spare ones, and against
 // re-dispatch of what an executor may have run.
 TEST_F (coordinator_test, refused_attempts_repeat_within_the_spare_ones)
--- a/tests/unit/test_executor.cc
+++ b/tests/unit/test_executor.cc
@@ -107,18 +107,26 @@
   eel_executor_done (&x, &key, 1);
   EXPECT_EQ (eel_executor_expire (&x, forgotten - 1, 100), 0u);
   EXPECT_EQ (eel_executor_expire (&x, forgotten, 100), 1u);
-  EXPECT_EQ (seal (forgotten), EEL_EXECUTOR_FREE);
+  EXPECT_EQ (seal (valid + EEL_EXECUTOR_KEEP_US / 2), EEL_EXECUTOR_FREE);
+  EXPECT_EQ (eel_executor_seal (&x, &key, 1, INT64_MIN, 0), EEL_EXECUTOR_FREE);
   EXPECT_EQ (accept (1, forgotten), EEL_ACCEPT_DUPLICATE);
 }
 
-// Guards against a refusal of a full table that a second copy does not meet.
+// Guards against a refusal of a full table that a second copy does not meet
+// once there is room, and against one that closes the table for others.
 TEST_F (executor_test, full_table_refuses_for_good)
 {
   for (uint8_t attempt = 2; attempt < 9; attempt++)
     ASSERT_EQ (accept (attempt), EEL_ACCEPT_OK);
   EXPECT_EQ (accept (), EEL_ACCEPT_FULL);
-  EXPECT_EQ (accept (), EEL_ACCEPT_SEALED);
-  EXPECT_EQ (accept (9), EEL_ACCEPT_DUPLICATE);
+  EXPECT_EQ (eel_executor_accept (&x, &key, 20, INT64_C (60000000), 3, 0),
+             EEL_ACCEPT_DUPLICATE);
+  EXPECT_EQ (eel_executor_seal (&x, &key, 9, valid, 0), EEL_EXECUTOR_SEALED);
   EXPECT_EQ (eel_executor_seal (&x, &key, 10, valid, 0), EEL_EXECUTOR_FREE);
-  EXPECT_EQ (x.refused_full, 2u);
+  x.free_count += 2;
+  EXPECT_EQ (accept (), EEL_ACCEPT_FULL);
+  x.free_count -= 2;
+  EXPECT_EQ (eel_executor_expire (&x, forgotten, 100), 8u);
+  EXPECT_EQ (eel_executor_accept (&x, &key, 1, 2 * forgotten, 3, forgotten),
+             EEL_ACCEPT_OK);
 }
