Add the front task: the listener for callers

Cause: callers need an HTTP entry that refuses ambiguous requests before they reach the node. Change: src/http/front*.c. The head of a request is checked as a whole before libevhtp parses it, because libevhtp 1.2.18 ends a request early at a continuation line or a line without colon, and cuts values at zero bytes.

--- /dev/null
+++ b/src/http/fields.c
@@ -0,0 +1,162 @@
+#include "http/fields.h"
+
+#include <ctype.h>
+#include <signal.h>
+#include <string.h>
+#include <strings.h>
+
+static const char *const hop_by_hop[]
+    = { "Connection",          "Keep-Alive", "Proxy-Connection",
+        "Proxy-Authenticate",  "TE",         "Trailer",
+        "Proxy-Authorization", "Upgrade",    "Transfer-Encoding" };
+
+/* Returns 1 when text is a token of RFC 9110, such as a field name. */
+int
+eel_http_is_token (const char *text)
+{
+  if (*text == 0)
+    return 0;
+  for (; *text != 0; text++)
+    if (!isalnum ((unsigned char)*text)
+        && strchr ("!#$%&'*+-.^_`|~", *text) == NULL)
+      return 0;
+  return 1;
+}
+
+/* Returns 1 when text has no control characters other than tab. */
+int
+eel_http_is_value (const char *text)
+{
+  for (; *text != 0; text++)
+    if (((unsigned char)*text < 0x20 && *text != '\t') || *text == 0x7f)
+      return 0;
+  return 1;
+}
+
+/* Returns 1 when text begins with prefix, in any case of letters. */
+int
+eel_http_has_prefix (const char *text, const char *prefix)
+{
+  return strncasecmp (text, prefix, strlen (prefix)) == 0;
+}
+
+/* Reads a plain decimal number up to max; returns 0 for anything else. */
+int
+eel_http_parse_u64 (const char *text, uint64_t max, uint64_t *out)
+{
+  uint64_t value = 0;
+
+  if (*text == 0)
+    return 0;
+  for (; *text != 0; text++)
+    {
+      uint64_t digit;
+
+      if (*text < '0' || *text > '9')
+        return 0;
+      digit = (uint64_t)(*text - '0');
+      if (value > max / 10 || value * 10 > max - digit)
+        return 0;
+      value = value * 10 + digit;
+    }
+  *out = value;
+  return 1;
+}
+
+/* Returns 1 when a comma-separated list holds a token. */
+int
+eel_http_list_has (const char *list, const char *token)
+{
+  size_t length = strlen (token);
+
+  while (*list != 0)
+    {
+      size_t item;
+
+      list += strspn (list, ", \t");
+      item = strcspn (list, ", \t");
+      if (item == length && strncasecmp (list, token, length) == 0)
+        return 1;
+      list += item;
+    }
+  return 0;
+}
+
+/*
+ * Returns 1 for a field that belongs to one connection only: those of RFC
+ * 9110 and those that the message's own Connection fields name.
+ */
+int
+eel_http_is_hop_by_hop (const struct eel_headers *headers, const char *name)
+{
+  for (size_t i = 0; i < sizeof hop_by_hop / sizeof *hop_by_hop; i++)
+    if (strcasecmp (name, hop_by_hop[i]) == 0)
+      return 1;
+  for (uint32_t i = 0; i < headers->count; i++)
+    if (strcasecmp (headers->items[i].name, "Connection") == 0
+        && eel_http_list_has (headers->items[i].value, name))
+      return 1;
+  return 0;
+}
+
+/* Returns how many fields have a name. */
+uint32_t
+eel_http_count (const struct eel_headers *headers, const char *name)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < headers->count; i++)
+    if (strcasecmp (headers->items[i].name, name) == 0)
+      count++;
+  return count;
+}
+
+/* Returns the reason phrase of a status; it carries no meaning. */
+const char *
+eel_http_reason (unsigned status)
+{
+  static const struct
+  {
+    unsigned status;
+    const char *reason;
+  } reasons[] = { { 200, "OK" },
+                  { 201, "Created" },
+                  { 202, "Accepted" },
+                  { 204, "No Content" },
+                  { 304, "Not Modified" },
+                  { 400, "Bad Request" },
+                  { 401, "Unauthorized" },
+                  { 403, "Forbidden" },
+                  { 404, "Not Found" },
+                  { 409, "Conflict" },
+                  { 410, "Gone" },
+                  { 413, "Content Too Large" },
+                  { 422, "Unprocessable Content" },
+                  { 428, "Precondition Required" },
+                  { 429, "Too Many Requests" },
+                  { 431, "Request Header Fields Too Large" },
+                  { 500, "Internal Server Error" },
+                  { 502, "Bad Gateway" },
+                  { 503, "Service Unavailable" },
+                  { 504, "Gateway Timeout" } };
+
+  for (size_t i = 0; i < sizeof reasons / sizeof *reasons; i++)
+    if (reasons[i].status == status)
+      return reasons[i].reason;
+  return "Other";
+}
+
+/* Returns 1 when an answer of this status to this method has a body. */
+int
+eel_http_status_has_body (unsigned status, const char *method)
+{
+  return status >= 200 && status != 204 && status != 304
+         && strcmp (method, "HEAD") != 0;
+}
+
+/* A write to a closed socket must be an error, not the end of the process. */
+void
+eel_http_ignore_sigpipe (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+}
--- /dev/null
+++ b/src/http/front_head.c
@@ -0,0 +1,187 @@
+#include "http/front.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http/fields.h"
+
+#define BAD EEL_ERROR_BAD_REQUEST
+
+/* Copies at most out_bytes - 1 bytes; returns 0 when there are more. */
+static int
+copy_text (char *out, size_t out_bytes, const char *data, size_t bytes)
+{
+  size_t kept = bytes < out_bytes ? bytes : out_bytes - 1;
+
+  memcpy (out, data, kept);
+  out[kept] = 0;
+  return kept == bytes;
+}
+
+/* Reads "METHOD target HTTP/1.x" with exactly two spaces. */
+static int
+parse_request_line (struct front_conn *conn, const char *line, size_t bytes)
+{
+  const char *space = memchr (line, ' ', bytes);
+  const char *version = line + bytes - 8;
+  char method[EEL_METHOD_MAX] = "";
+  char target[EEL_TARGET_MAX];
+
+  if (space == NULL || bytes < 12 || version <= space + 1 || version[-1] != ' '
+      || memcmp (version, "HTTP/1.", 7) != 0
+      || (version[7] != '0' && version[7] != '1'))
+    {
+      front_refuse (&conn->refusal, BAD, 1,
+                    "the request line must be METHOD target HTTP/1.1");
+      return 0;
+    }
+  conn->minor_version = (uint8_t)(version[7] - '0');
+  if (!copy_text (method, sizeof method, line, (size_t)(space - line)))
+    method[0] = 0;
+  if (!copy_text (target, sizeof target, space + 1,
+                  (size_t)(version - 1 - (space + 1))))
+    {
+      front_refuse (&conn->refusal, EEL_ERROR_HEADER_TOO_LARGE, 1,
+                    "the target must be at most %d bytes", EEL_TARGET_MAX - 1);
+      return 0;
+    }
+  return front_parse_method (conn->call, method, &conn->refusal)
+         && front_parse_target (conn->call, target, &conn->refusal);
+}
+
+/*
+ * evhtp reads the two framing headers by itself; a form that it might read
+ * in another way than we do is refused.
+ */
+static int
+is_plain_framing (const char *name, const char *value, size_t bytes)
+{
+  if (strcasecmp (name, "Content-Length") != 0
+      && strcasecmp (name, "Transfer-Encoding") != 0)
+    return 1;
+  if (bytes > 0 && value[0] == ' ')
+    {
+      value++;
+      bytes--;
+    }
+  return bytes > 0 && value[0] != ' ' && value[0] != '\t'
+         && value[bytes - 1] != ' ' && value[bytes - 1] != '\t';
+}
+
+static int
+add_header (struct front_conn *conn,
+            const char *name,
+            const char *data,
+            size_t bytes)
+{
+  char value[FRONT_LINE_BYTES_MAX];
+  enum eel_error error;
+
+  if (!is_plain_framing (name, data, bytes))
+    {
+      front_refuse (&conn->refusal, BAD, 1, "%s has extra white space", name);
+      return 0;
+    }
+  while (bytes > 0 && (*data == ' ' || *data == '\t'))
+    data++, bytes--;
+  while (bytes > 0 && (data[bytes - 1] == ' ' || data[bytes - 1] == '\t'))
+    bytes--;
+  copy_text (value, sizeof value, data, bytes);
+  if (strlen (value) != bytes || !eel_http_is_value (value))
+    {
+      front_refuse (&conn->refusal, BAD, 1,
+                    "%.48s has a control character in its value", name);
+      return 0;
+    }
+  error = eel_headers_add (&conn->raw, name, value);
+  if (error == EEL_OK)
+    return 1;
+  front_refuse (&conn->refusal, error, 1,
+                "at most %d headers of %d bytes in all are taken; %.48s is "
+                "over that",
+                EEL_HEADERS_MAX, EEL_HEADER_BYTES_MAX, name);
+  return 0;
+}
+
+/* Reads one "name: value" line; continuation lines are refused. */
+static int
+parse_header_line (struct front_conn *conn, const char *line, size_t bytes)
+{
+  const char *colon = memchr (line, ':', bytes);
+  char name[256];
+
+  if (bytes >= FRONT_LINE_BYTES_MAX)
+    {
+      front_refuse (&conn->refusal, EEL_ERROR_HEADER_TOO_LARGE, 1,
+                    "header line %u must be under %d bytes",
+                    conn->raw.count + 1, FRONT_LINE_BYTES_MAX);
+      return 0;
+    }
+  if (colon == NULL
+      || !copy_text (name, sizeof name, line, (size_t)(colon - line))
+      || strlen (name) != (size_t)(colon - line) || !eel_http_is_token (name))
+    {
+      front_refuse (&conn->refusal, BAD, 1,
+                    "header line %u must be a name, a colon and a value",
+                    conn->raw.count + 1);
+      return 0;
+    }
+  return add_header (conn, name, colon + 1, bytes - (size_t)(colon + 1 - line));
+}
+
+/* Persistence as RFC 9112 has it. */
+static int
+wants_keep_alive (const struct front_conn *conn)
+{
+  int keep_alive = conn->minor_version > 0;
+
+  for (uint32_t i = 0; i < conn->raw.count; i++)
+    if (strcasecmp (conn->raw.items[i].name, "Connection") == 0)
+      {
+        if (eel_http_list_has (conn->raw.items[i].value, "close"))
+          return 0;
+        if (eel_http_list_has (conn->raw.items[i].value, "keep-alive"))
+          keep_alive = 1;
+      }
+  return keep_alive;
+}
+
+/*
+ * Reads a whole request head, up to and with the empty line, before evhtp
+ * sees it: evhtp takes continuation lines, lines without a colon and zero
+ * bytes in ways that end a request early.  Returns 0 when the connection must
+ * be closed with the refusal.
+ */
+int
+front_head_parse (struct front_conn *conn, const char *data, size_t bytes)
+{
+  const char *end = data + bytes - 2;
+  const char *line = data;
+
+  conn->call = eel_call_new ();
+  if (conn->call == NULL)
+    {
+      front_refuse (&conn->refusal, EEL_ERROR_INTERNAL, 1, "no memory");
+      return 0;
+    }
+  while (line < end)
+    {
+      const char *next = memmem (line, (size_t)(end + 2 - line), "\r\n", 2);
+      size_t length = (size_t)(next - line);
+
+      if (!(line == data ? parse_request_line (conn, line, length)
+                         : parse_header_line (conn, line, length)))
+        return 0;
+      line = next + 2;
+    }
+  conn->keep_alive = (uint8_t)wants_keep_alive (conn);
+  if (!front_check_framing (&conn->raw, &conn->refusal))
+    return 0;
+  /* A request for keys names no service. */
+  if (!eel_http_has_prefix (conn->call->target, "/eel/"))
+    front_parse_headers (conn->call, &conn->raw, eel_clock_us (),
+                         eel_wall_ms (), &conn->refusal);
+  eel_headers_finish (&conn->raw);
+  return !conn->refusal.close;
+}
--- /dev/null
+++ b/src/http/front_linger.c
@@ -0,0 +1,93 @@
+#include "http/front.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <sys/socket.h>
+
+static void
+linger_end (struct front_linger *linger)
+{
+  bufferevent_free (linger->bev);
+  linger->bev = NULL;
+}
+
+static void
+linger_read (struct bufferevent *bev, void *data)
+{
+  struct front_linger *linger = data;
+  struct evbuffer *input = bufferevent_get_input (bev);
+
+  linger->dropped_bytes += evbuffer_get_length (input);
+  evbuffer_drain (input, evbuffer_get_length (input));
+  if (linger->dropped_bytes > FRONT_LINGER_BYTES_MAX)
+    linger_end (linger);
+}
+
+static void
+linger_written (struct bufferevent *bev, void *data)
+{
+  (void)data;
+  shutdown (bufferevent_getfd (bev), SHUT_WR);
+}
+
+static void
+linger_event (struct bufferevent *bev, short what, void *data)
+{
+  (void)bev;
+  (void)what;
+  linger_end (data);
+}
+
+static struct front_linger *
+linger_place (struct eel_front *front)
+{
+  for (uint32_t i = 0; i < FRONT_LINGERS_MAX; i++)
+    if (front->lingers[i].bev == NULL)
+      return &front->lingers[i];
+  return NULL;
+}
+
+/*
+ * Sends a refusal and drops what the caller still sends, because closing a
+ * socket with unread input resets it and the refusal would be lost.  Takes
+ * over the bufferevent.
+ */
+void
+front_linger_begin (struct eel_front *front,
+                    struct bufferevent *bev,
+                    const struct front_refusal *refusal)
+{
+  struct front_linger *linger = linger_place (front);
+
+  front_count_refusal (front, refusal->error);
+  if (linger == NULL)
+    {
+      bufferevent_free (bev);
+      return;
+    }
+  linger->bev = bev;
+  linger->front = front;
+  linger->until_us = eel_clock_us () + FRONT_LINGER_US;
+  linger->dropped_bytes = 0;
+  evbuffer_drain (bufferevent_get_input (bev),
+                  evbuffer_get_length (bufferevent_get_input (bev)));
+  bufferevent_setcb (bev, linger_read, linger_written, linger_event, linger);
+  front_answer_raw (bev, refusal);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+}
+
+/* Closes the ones whose time is over. */
+void
+front_linger_sweep (struct eel_front *front, int64_t now_us)
+{
+  for (uint32_t i = 0; i < FRONT_LINGERS_MAX; i++)
+    if (front->lingers[i].bev != NULL && front->lingers[i].until_us <= now_us)
+      linger_end (&front->lingers[i]);
+}
+
+/* Closes all of them. */
+void
+front_linger_finish (struct eel_front *front)
+{
+  front_linger_sweep (front, INT64_MAX);
+}
