Add the upstream task: the pool of connections to the own upstream

Cause: the node needs to run admitted calls and to know what is certain about each one. Change: src/http/upstream*.c. evhttp never resends; a run is NOT_SENT only if no byte left the output buffer, REFUSED only for 429 or 503 with X-Not-Run: 1. The deadline is checked again when evhttp fills the output buffer after a connect; a late call's socket is shut down before its first byte. Answers without a certain end, with two lengths or over 1 MiB are BROKEN, and bytes after an answer close the connection. A health read each second reports up, draining and refused connects.

--- /dev/null
+++ b/src/http/upstream.h
@@ -0,0 +1,91 @@
+#ifndef EEL_HTTP_UPSTREAM_H
+#define EEL_HTTP_UPSTREAM_H
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <stdint.h>
+
+#include "internal/tasks.h"
+
+#define UPSTREAM_HEALTH_MS 1000
+#define UPSTREAM_HEALTH_BODY_MAX 4096
+/* A connection that stays unused for this long is closed. */
+#define UPSTREAM_IDLE_US (60 * EEL_US_PER_S)
+#define UPSTREAM_RESULTS (EEL_RUN_CANCELLED + 1)
+
+/* One connection of the pool; it carries one run at a time. */
+struct upstream_conn
+{
+  struct eel_upstream *upstream;
+  struct evhttp_connection *evhttp;
+  /* The run that it carries, or NULL when it is idle. */
+  struct eel_call *call;
+  struct evhttp_request *request;
+  struct event *timeout;
+  uint64_t call_id;
+  int64_t used_us;
+  /* Bytes of the request that left the output buffer. */
+  size_t sent_bytes;
+  /* The request was stopped before its first byte was written. */
+  uint8_t late;
+  /* evhttp uses it further up the stack; the reaper frees it. */
+  uint8_t doomed;
+};
+
+struct upstream_metrics
+{
+  struct eel_metric *runs[UPSTREAM_RESULTS];
+  struct eel_metric *connections;
+  struct eel_metric *opened;
+  struct eel_metric *in_flight;
+  struct eel_metric *malformed;
+  struct eel_metric *latency;
+};
+
+struct eel_upstream
+{
+  struct event_base *base;
+  struct eel_mailbox inbox;
+  struct eel_mailbox *node;
+  struct eel_endpoint_address address;
+  char health_path[EEL_PATH_BYTES];
+  struct upstream_conn *conns;
+  uint32_t conn_max;
+  uint32_t open_count;
+  uint32_t in_flight;
+  struct event *reaper;
+  struct event *health_timer;
+  struct evhttp_connection *health;
+  uint8_t health_pending;
+  /* An enum eel_upstream_state, or -1 before any evidence. */
+  int state;
+  struct upstream_metrics metrics;
+};
+
+/* upstream_conn.c */
+struct upstream_conn *upstream_conn_idle (struct eel_upstream *upstream);
+struct upstream_conn *upstream_conn_find (struct eel_upstream *upstream,
+                                          uint64_t call_id);
+int upstream_conn_open (struct upstream_conn *conn);
+void upstream_conn_doom (struct upstream_conn *conn);
+void upstream_conn_reap (struct eel_upstream *upstream);
+/* upstream_run.c */
+void upstream_run (struct eel_upstream *upstream, struct eel_msg *msg);
+void upstream_run_cancel (struct eel_upstream *upstream, uint64_t call_id);
+void upstream_run_timeout (evutil_socket_t fd, short what, void *data);
+/* upstream_request.c */
+struct evhttp_request *
+upstream_request_new (struct upstream_conn *conn,
+                      void (*done) (struct evhttp_request *, void *));
+int upstream_request_method (const char *method, enum evhttp_cmd_type *type);
+/* upstream_answer.c */
+struct eel_answer *upstream_answer_read (struct upstream_conn *conn,
+                                         struct evhttp_request *request,
+                                         enum eel_run_result *result);
+/* upstream_health.c */
+int upstream_health_start (struct eel_upstream *upstream);
+void upstream_health_stop (struct eel_upstream *upstream);
+void upstream_set_state (struct eel_upstream *upstream,
+                         enum eel_upstream_state state);
+
+#endif
