Add the node task

Nothing carried a call between the front, the peers and the upstream.

The node task owns the decision modules and carries each call: idempotent calls are sent to an executor, retried and hedged; orders go to the node that issued their key, which executes the coordinator's actions; executors accept, queue, check again and run. Gossip, documents, queries and the planned stop are wired too.

--- /dev/null
+++ b/src/node/dispatch.c
@@ -0,0 +1,173 @@
+#include "state.h"
+
+#include <string.h>
+
+#include "internal/hash.h"
+
+static uint64_t
+key_hash (const struct eel_key *key)
+{
+  return eel_hash64 (key->child, sizeof key->child,
+                     key->serial ^ key->incarnation);
+}
+
+/* Returns the order of a key that this node is taking care of, or NULL. */
+struct node_order *
+node_order_find (const struct eel_node *node, const struct eel_key *key)
+{
+  struct node_order *order
+      = node_table_find (&node->orders, key->issuer, key_hash (key));
+
+  while (order != NULL && !eel_key_equal (&order->key, key))
+    order = node_table_find_next (&node->orders, order);
+  return order;
+}
+
+/*
+ * Keeps the payload of a key until its outcome is known: the copy that came
+ * first may be gone when the key is dispatched again.  NULL at the bound.
+ */
+struct node_order *
+node_order_keep (struct eel_node *node,
+                 const struct eel_key *key,
+                 struct node_request *arrived)
+{
+  struct node_order *order = node_order_find (node, key);
+
+  if (order != NULL || arrived == NULL || arrived->call == NULL
+      || !eel_key_equal (&arrived->call->key, key))
+    return order;
+  order = node_table_add (&node->orders, key->issuer, key_hash (key));
+  if (order == NULL)
+    {
+      eel_metric_add (node->metrics.table_full, 1);
+      return NULL;
+    }
+  order->key = *key;
+  order->call = arrived->call;
+  arrived->call = NULL;
+  order->service = node_service_get (node, order->call->service);
+  return order;
+}
+
+/* Frees an order whose record says that nothing more will be dispatched. */
+void
+node_order_settle (struct eel_node *node, struct node_order *order)
+{
+  const struct eel_decider_record *record
+      = eel_decider_find (&node->coordinator.decider, &order->key);
+
+  if (record != NULL && record->pending != UINT32_MAX
+      && (record->state == EEL_DECIDER_OPEN
+          || record->state == EEL_DECIDER_DISPATCHED))
+    return;
+  eel_call_free (order->call);
+  node_table_remove (&node->orders, order);
+}
+
+static void
+not_dispatched (struct eel_node *node,
+                const struct eel_action *action,
+                enum eel_error error)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  size_t count = eel_coordinator_not_dispatched (&node->coordinator,
+                                                 &action->key, action->attempt,
+                                                 error, node->now_us, actions);
+  struct node_order *order;
+
+  node_order_act (node, actions, count, NULL);
+  order = node_order_find (node, &action->key);
+  if (order != NULL)
+    node_order_settle (node, order);
+}
+
+static enum eel_error
+choose (struct eel_node *node,
+        struct node_order *order,
+        struct eel_endpoint **endpoint)
+{
+  if (order->service == NULL)
+    return EEL_ERROR_SERVICE_UNKNOWN;
+  if (order->dispatches > 0 && !order->rerouted
+      && !eel_retry_budget_take (&order->service->budget, node->now_us))
+    return EEL_ERROR_RETRY_BUDGET;
+  *endpoint = eel_routing_pick (&order->service->routing, order->call->klass,
+                                order->tried, order->tried_count, node->now_us,
+                                &node->rng);
+  if (*endpoint == NULL || !node_peer_usable (node, (*endpoint)->node))
+    return EEL_ERROR_NO_ENDPOINT;
+  return EEL_OK;
+}
+
+static enum eel_error
+dispatch (struct eel_node *node,
+          struct node_order *order,
+          const struct eel_action *action,
+          const struct eel_endpoint *endpoint)
+{
+  struct node_send *send
+      = node_send_new (node, NODE_SEND_ORDER, order->service, endpoint->node);
+  enum eel_error error;
+
+  if (send == NULL)
+    return EEL_ERROR_TABLE_FULL;
+  send->key = action->key;
+  send->attempt = action->attempt;
+  send->lent = action->spare;
+  error = eel_coordinator_dispatched (&node->coordinator, &action->key,
+                                      action->attempt, endpoint->node,
+                                      endpoint->incarnation, node->now_us);
+  if (error == EEL_OK)
+    {
+      order->dispatches++;
+      if (order->tried_count < NODE_TRIED_MAX)
+        order->tried[order->tried_count++] = endpoint->node;
+      order->call->deadline_us = action->deadline_us;
+      if (node_send_post (
+              node, send, order->call, endpoint->incarnation,
+              node_peer_clock (node, endpoint->node, action->deadline_us)))
+        return EEL_OK;
+      error = EEL_ERROR_OVERLOADED;
+    }
+  node_table_remove (&node->sends, send);
+  return error;
+}
+
+/* Carries out an execute action: chooses an executor, records, then sends. */
+void
+node_order_execute (struct eel_node *node,
+                    const struct eel_action *action,
+                    struct node_request *arrived)
+{
+  struct node_order *order = node_order_keep (node, &action->key, arrived);
+  struct eel_endpoint *endpoint = NULL;
+  enum eel_error error;
+
+  if (order == NULL)
+    {
+      not_dispatched (node, action, EEL_ERROR_TABLE_FULL);
+      return;
+    }
+  error = choose (node, order, &endpoint);
+  if (error == EEL_OK)
+    error = dispatch (node, order, action, endpoint);
+  if (error != EEL_OK)
+    not_dispatched (node, action, error);
+}
+
+/* Carries out a seal action; a lost request ends in the seal timeout. */
+void
+node_order_seal (struct eel_node *node, const struct eel_action *action)
+{
+  struct eel_wire_message *wire = eel_wire_new (EEL_WIRE_SEAL);
+
+  if (wire == NULL)
+    return;
+  wire->seal.key = action->key;
+  wire->seal.attempt = action->attempt;
+  wire->seal.valid_until_us
+      = node_peer_clock (node, action->executor, action->deadline_us);
+  wire->to_incarnation = action->executor_incarnation;
+  node_post_wire (node, action->executor, wire);
+}
--- /dev/null
+++ b/src/node/drain.c
@@ -0,0 +1,110 @@
+#include "state.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Time for the last answers to leave the sockets before the loop ends. */
+#define EXIT_DELAY_US (100 * EEL_US_PER_MS)
+
+/* Gives back what has not been sent to the upstream, for others to run. */
+static void
+hand_back_queued (struct eel_node *node, enum eel_error kind)
+{
+  for (uint32_t i = 0; i < node->runs.capacity && node->runs.used > 0; i++)
+    {
+      struct node_run *run = node_table_at (&node->runs, i);
+
+      if (run != NULL && run->state != NODE_RUN_RUNNING)
+        node_run_refuse (node, run, kind);
+    }
+}
+
+static void
+announce_leaving (struct eel_node *node, const char *reason)
+{
+  node_audit (node, EEL_AUDIT_DRAIN, "serving", "leaving", "self", reason);
+  hand_back_queued (node, EEL_ERROR_LEAVING);
+  node_gossip_leaving (node);
+  node->members_version = 0;
+  node_members_refresh (node);
+}
+
+/* A planned stop: no new work, hand back what waits, finish what runs. */
+void
+node_drain_start (struct eel_node *node)
+{
+  struct eel_msg msg = { .kind = EEL_MSG_DRAIN };
+
+  if (node->draining)
+    return;
+  node->draining = 1;
+  node->drain_started_us = node->now_us;
+  announce_leaving (node, "planned stop");
+  if (!node_post (node, node->out.front, &msg))
+    node->front_drained = 1;
+}
+
+static void
+exit_now (evutil_socket_t fd, short what, void *data)
+{
+  struct eel_node *node = data;
+
+  (void)fd;
+  (void)what;
+  event_base_loopexit (node->base, NULL);
+}
+
+static void
+finish (struct eel_node *node)
+{
+  struct eel_msg msg = { .kind = EEL_MSG_DRAINED };
+  struct timeval delay = { 0, EXIT_DELAY_US };
+
+  node->exiting = 1;
+  node_post (node, node->out.front, &msg);
+  node->exit_timer = evtimer_new (node->base, exit_now, node);
+  if (node->exit_timer == NULL || evtimer_add (node->exit_timer, &delay) != 0)
+    event_base_loopexit (node->base, NULL);
+}
+
+/* Ends the loop when a drain has nothing left to wait for. */
+void
+node_drain_check (struct eel_node *node)
+{
+  int64_t drain_us = node->settings.drain_ms * EEL_US_PER_MS;
+  int open = node->requests.used > 0 || node->runs.used > 0
+             || node->orders.used > 0 || !node->front_drained;
+
+  if (!node->draining || node->exiting)
+    return;
+  if (open && node->now_us - node->drain_started_us >= drain_us)
+    {
+      g_warning ("drain_ms passed with %u requests and %u runs open",
+                 node->requests.used, node->runs.used);
+      open = 0;
+    }
+  if (!open)
+    finish (node);
+}
+
+/*
+ * The upstream's own state.  When it drains, this node leaves as an executor
+ * but goes on as entry and decider.
+ */
+void
+node_upstream_state (struct eel_node *node, enum eel_upstream_state state)
+{
+  enum eel_upstream_state before = node->upstream_state;
+
+  node->upstream_state = state;
+  if (state == EEL_UPSTREAM_DRAINING && !node->upstream_leaving)
+    {
+      node->upstream_leaving = 1;
+      if (!node->draining)
+        announce_leaving (node, "the upstream is draining");
+    }
+  if (state == EEL_UPSTREAM_UP && node->upstream_leaving)
+    node->upstream_leaving = 0;
+  if (state == EEL_UPSTREAM_DOWN && before != EEL_UPSTREAM_DOWN)
+    hand_back_queued (node, EEL_ERROR_NO_ENDPOINT);
+}
--- /dev/null
+++ b/src/node/gossip.c
@@ -0,0 +1,163 @@
+#include "state.h"
+
+#include <string.h>
+
+#define JOIN_INTERVAL_US (500 * EEL_US_PER_MS)
+
+static void
+fill (struct eel_node *node, struct eel_wire_gossip *gossip)
+{
+  gossip->revision = node->presets.current->revision;
+  node_load (node, &gossip->load);
+  gossip->quarantine_count = (uint32_t)eel_quarantine_refused (
+      &node->quarantine, gossip->quarantine, EEL_WIRE_QUARANTINE_MAX,
+      node->now_us);
+  for (uint32_t i = 0; i < gossip->quarantine_count; i++)
+    gossip->quarantine[i].expires_us -= node->now_us;
+}
+
+/* Sends membership messages, each with revision, load and quarantine. */
+void
+node_gossip_send (struct eel_node *node,
+                  const struct eel_gossip *gossip,
+                  size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      struct eel_wire_message *wire = eel_wire_new (EEL_WIRE_GOSSIP);
+
+      if (wire == NULL)
+        return;
+      node->digest = gossip[i].digest;
+      wire->gossip->membership = gossip[i];
+      fill (node, wire->gossip);
+      node_peer_connect (node, gossip[i].to);
+      node_post_wire (node, gossip[i].to, wire);
+    }
+}
+
+static void
+own_record (const struct eel_member *self, struct eel_gossip *gossip)
+{
+  struct eel_member_update *update = &gossip->updates[0];
+
+  update->node = self->node;
+  update->incarnation = self->incarnation;
+  update->generation = self->generation;
+  update->state = self->state;
+  update->domain = self->domain;
+  update->service = self->service;
+  memcpy (update->address, self->address, sizeof update->address);
+  gossip->update_count = 1;
+}
+
+/* Sends one message of a kind that needs no state of membership. */
+void
+node_gossip_ping (struct eel_node *node, uint32_t to, uint8_t kind)
+{
+  struct eel_gossip gossip;
+
+  memset (&gossip, 0, sizeof gossip);
+  gossip.to = to;
+  gossip.from = node->settings.node;
+  gossip.kind = kind;
+  gossip.digest = node->digest;
+  /* A sync request names the range of all members; see membership.h. */
+  gossip.target = kind == EEL_GOSSIP_SYNC_REQUEST ? 1 : to;
+  if (node->membership.count > 0)
+    own_record (&node->membership.members[0], &gossip);
+  node_gossip_send (node, &gossip, 1);
+}
+
+/* Asks the seeds for their members until one of them has answered. */
+void
+node_gossip_join (struct eel_node *node)
+{
+  if (node->seed_heard || node->now_us < node->next_join_us)
+    return;
+  node->next_join_us = node->now_us + JOIN_INTERVAL_US;
+  for (uint32_t i = 0; i < node->settings.seed_count; i++)
+    if (node->settings.seeds[i].node != node->settings.node)
+      node_gossip_ping (node, node->settings.seeds[i].node,
+                        EEL_GOSSIP_SYNC_REQUEST);
+}
+
+/* Sends the probes that are due and follows the member table. */
+void
+node_gossip_tick (struct eel_node *node)
+{
+  struct eel_gossip out[NODE_GOSSIP_OUT];
+  size_t count = eel_membership_tick (&node->membership, node->now_us, out,
+                                      NODE_GOSSIP_OUT);
+
+  node_gossip_send (node, out, count);
+  node_gossip_join (node);
+  node_members_refresh (node);
+  node_peers_tick (node);
+}
+
+static void
+note_load (struct eel_node *node, uint32_t from, const struct eel_load *load)
+{
+  for (uint32_t i = 0; i < node->service_count; i++)
+    {
+      struct eel_routing *routing = &node->services[i]->routing;
+      struct eel_endpoint *endpoint = eel_routing_find (routing, from);
+
+      if (endpoint == NULL)
+        continue;
+      endpoint->load = *load;
+      endpoint->load_at_us = node->now_us;
+      if (load->draining && endpoint->state != EEL_ENDPOINT_LEAVING)
+        eel_routing_set_state (routing, from, EEL_ENDPOINT_LEAVING,
+                               node->now_us);
+    }
+}
+
+static void
+merge_quarantine (struct eel_node *node, const struct eel_wire_gossip *gossip)
+{
+  for (uint32_t i = 0; i < gossip->quarantine_count; i++)
+    eel_quarantine_merge (&node->quarantine, gossip->quarantine[i].fingerprint,
+                          gossip->quarantine[i].expires_us, node->now_us);
+}
+
+/* Handles a gossip message: members, revision, load and quarantine. */
+void
+node_gossip_received (struct eel_node *node,
+                      const struct eel_wire_message *wire)
+{
+  struct eel_gossip out[NODE_GOSSIP_OUT];
+  size_t count;
+
+  if (wire->gossip == NULL || wire->from == node->settings.node)
+    return;
+  node->seed_heard = 1;
+  count = eel_membership_receive (&node->membership, &wire->gossip->membership,
+                                  node->now_us, out, NODE_GOSSIP_OUT);
+  node_gossip_send (node, out, count);
+  note_load (node, wire->from, &wire->gossip->load);
+  merge_quarantine (node, wire->gossip);
+  node_documents_compare (node, wire->from, &wire->gossip->revision);
+}
+
+/* Tells every node that may call this one that it is leaving. */
+void
+node_gossip_leaving (struct eel_node *node)
+{
+  eel_membership_leave (&node->membership, node->now_us);
+  for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
+    {
+      const struct node_peer *peer = &node->peers[i];
+      struct eel_wire_message *wire;
+
+      if (!peer->used || peer->node == node->settings.node
+          || node->now_us - peer->heard_us >= NODE_CLOCK_LIFE_US)
+        continue;
+      wire = eel_wire_new (EEL_WIRE_LEAVING);
+      if (wire == NULL)
+        return;
+      wire->value = 1;
+      node_post_wire (node, peer->node, wire);
+    }
+}
--- /dev/null
+++ b/src/node/idempotent.c
@@ -0,0 +1,205 @@
+#include "state.h"
+
+#include <string.h>
+
+static int
+outstanding (const struct node_request *request)
+{
+  return request->sends[0] != 0 || request->sends[1] != 0;
+}
+
+static void
+mark_tried (struct node_request *request, uint32_t target)
+{
+  if (request->tried_count < NODE_TRIED_MAX)
+    request->tried[request->tried_count++] = target;
+}
+
+static enum eel_error
+send_attempt (struct eel_node *node,
+              struct node_request *request,
+              uint32_t place)
+{
+  struct eel_endpoint *endpoint = eel_routing_pick (
+      &request->service->routing, request->klass, request->tried,
+      request->tried_count, node->now_us, &node->rng);
+  struct node_send *send;
+  uint8_t lent;
+
+  if (endpoint == NULL)
+    return EEL_ERROR_NO_ENDPOINT;
+  send = node_send_new (node, NODE_SEND_LOOKUP, request->service,
+                        endpoint->node);
+  if (send == NULL)
+    return EEL_ERROR_TABLE_FULL;
+  lent = eel_ledger_lend (&request->ledger);
+  send->owner = request->slot.id;
+  send->lent = lent;
+  mark_tried (request, endpoint->node);
+  if (!node_send_post (node, send, request->call, endpoint->incarnation, 0))
+    {
+      node_table_remove (&node->sends, send);
+      eel_ledger_return (&request->ledger, lent, lent);
+      return EEL_ERROR_OVERLOADED;
+    }
+  request->sends[place] = send->slot.id;
+  return EEL_OK;
+}
+
+static void
+set_timer (struct eel_node *node, struct node_request *request)
+{
+  int64_t due_us = request->deadline_us;
+  int64_t hedge_us;
+
+  if (request->klass == EEL_CLASS_LOOKUP && request->ledger.spare > 0
+      && !request->hedged)
+    {
+      hedge_us = eel_routing_hedge_delay_us (&request->service->routing);
+      if (hedge_us >= 0 && node->now_us + hedge_us < due_us)
+        due_us = node->now_us + hedge_us;
+    }
+  node_request_timer (node, request, due_us);
+}
+
+/* Sends an idempotent request to an executor chosen by routing. */
+void
+node_lookup_start (struct eel_node *node, struct node_request *request)
+{
+  enum eel_error error = send_attempt (node, request, 0);
+
+  if (error != EEL_OK)
+    node_request_fail (node, request, error);
+  else
+    set_timer (node, request);
+}
+
+/* Sends a second attempt when the first has been slow, within the bounds. */
+void
+node_lookup_hedge (struct eel_node *node, struct node_request *request)
+{
+  uint32_t place = request->sends[0] == 0 ? 0 : 1;
+
+  node_request_timer (node, request, request->deadline_us);
+  if (request->hedged || request->sends[place] != 0
+      || !eel_ledger_take (&request->ledger))
+    return;
+  request->hedged = 1;
+  if (send_attempt (node, request, place) != EEL_OK)
+    {
+      /* Nothing was sent, so the attempt is still spare. */
+      request->ledger.spare++;
+      return;
+    }
+  eel_routing_hedged (&request->service->routing);
+  eel_metric_add (node->metrics.hedges, 1);
+}
+
+/*
+ * Refusals for overload are tried again only by the entry, so that inner hops
+ * add no load of their own.
+ */
+static int
+may_retry (const struct node_request *request, enum eel_error error)
+{
+  switch (error)
+    {
+    case EEL_ERROR_OVERLOADED:
+    case EEL_ERROR_UPSTREAM_REFUSED:
+      return request->parent == 0;
+    case EEL_ERROR_LEAVING:
+    case EEL_ERROR_NO_ENDPOINT:
+    case EEL_ERROR_UPSTREAM_FAILED:
+    case EEL_ERROR_TABLE_FULL:
+      return 1;
+    default:
+      return 0;
+    }
+}
+
+/* A leaving endpoint ran nothing, so moving on from it costs no attempt. */
+static int
+is_free (const struct node_request *request, enum eel_error error)
+{
+  return error == EEL_ERROR_LEAVING && request->tried_count < NODE_TRIED_MAX;
+}
+
+static enum eel_error
+take_retry (struct eel_node *node,
+            struct node_request *request,
+            enum eel_error error)
+{
+  if (!may_retry (request, error) || node->now_us >= request->deadline_us)
+    return error;
+  if (is_free (request, error))
+    return EEL_OK;
+  if (request->ledger.spare == 0)
+    return error;
+  if (!eel_retry_budget_take (&request->service->budget, node->now_us))
+    return error;
+  eel_ledger_take (&request->ledger);
+  return EEL_OK;
+}
+
+static void
+mark_suspect (struct node_request *request)
+{
+  if (request->suspect)
+    return;
+  request->suspect = 1;
+  eel_headers_add (&request->call->headers, "Eel-Suspect", "1");
+}
+
+static void
+retry (struct eel_node *node,
+       struct node_request *request,
+       struct eel_answer *answer)
+{
+  enum eel_error error;
+
+  if (answer->error == EEL_ERROR_UPSTREAM_FAILED)
+    mark_suspect (request);
+  eel_metric_add (node->metrics.retries, 1);
+  error = send_attempt (node, request, 0);
+  if (error == EEL_OK)
+    {
+      eel_answer_free (answer);
+      set_timer (node, request);
+      return;
+    }
+  /* The first refusal tells the caller more than "no endpoint is left". */
+  node_request_answer (node, request, answer);
+}
+
+/*
+ * An attempt has ended.  The first good answer wins; after a failure the
+ * request waits for its other attempt, or is tried again.
+ */
+void
+node_lookup_replied (struct eel_node *node,
+                     struct node_request *request,
+                     uint32_t target,
+                     struct eel_answer *answer)
+{
+  (void)target;
+  if (answer == NULL)
+    {
+      node_request_fail (node, request, EEL_ERROR_INTERNAL);
+      return;
+    }
+  if (answer->error == EEL_OK)
+    {
+      eel_retry_budget_success (&request->service->budget);
+      node_request_answer (node, request, answer);
+      return;
+    }
+  if (outstanding (request))
+    {
+      eel_answer_free (answer);
+      return;
+    }
+  if (take_retry (node, request, answer->error) == EEL_OK)
+    retry (node, request, answer);
+  else
+    node_request_answer (node, request, answer);
+}
--- /dev/null
+++ b/src/node/order.c
@@ -0,0 +1,318 @@
+#include "state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* How often and for how long a call to a key's issuer is sent again while no
+ * connection takes it: opening a link needs a few round trips. */
+#define FORWARD_INTERVAL_US (10 * EEL_US_PER_MS)
+#define FORWARD_TRIES_US (500 * EEL_US_PER_MS)
+
+static void
+arrived (struct eel_node *node, struct node_request *request)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  struct eel_arrival arrival = { 0 };
+  size_t count;
+
+  arrival.key = request->call->key;
+  arrival.fingerprint = request->call->fingerprint;
+  arrival.call_id = request->slot.id;
+  arrival.deadline_us = request->deadline_us;
+  if (!eel_key_is_root (&arrival.key))
+    arrival.spare = request->ledger.spare;
+  count = eel_coordinator_arrived (&node->coordinator, &arrival, node->now_us,
+                                   actions);
+  node_order_act (node, actions, count, request);
+}
+
+/*
+ * Sends the call to the issuer of its key.  A link that is only now being
+ * opened refuses at first; then this is tried again after a short time.
+ */
+void
+node_order_forward (struct eel_node *node, struct node_request *request)
+{
+  const struct eel_key *key = &request->call->key;
+  struct node_send *send
+      = node_send_new (node, NODE_SEND_DECIDE, NULL, key->issuer);
+
+  if (send == NULL)
+    {
+      node_request_fail (node, request, EEL_ERROR_TABLE_FULL);
+      return;
+    }
+  send->owner = request->slot.id;
+  send->lent = request->ledger.spare;
+  node_peer_connect (node, key->issuer);
+  if (!node_send_post (node, send, request->call, key->incarnation, 0))
+    {
+      node_table_remove (&node->sends, send);
+      node_request_fail (node, request, EEL_ERROR_DECIDER_UNREACHABLE);
+      return;
+    }
+  request->sends[0] = send->slot.id;
+  request->ledger.lent = request->ledger.spare;
+  request->ledger.spare = 0;
+  node_request_timer (node, request, request->deadline_us);
+}
+
+/* The call was certainly not sent to the issuer of its key. */
+void
+node_order_unsent (struct eel_node *node, struct node_request *request)
+{
+  int64_t again_us = node->now_us + FORWARD_INTERVAL_US;
+
+  request->sends[0] = 0;
+  eel_ledger_return (&request->ledger, request->ledger.lent,
+                     request->ledger.lent);
+  if (again_us >= request->deadline_us
+      || again_us >= request->started_us + FORWARD_TRIES_US)
+    node_request_fail (node, request, EEL_ERROR_DECIDER_UNREACHABLE);
+  else
+    node_request_timer (node, request, again_us);
+}
+
+/* The issuer of the key is another node: it decides, this one relays. */
+static void
+forward (struct eel_node *node, struct node_request *request)
+{
+  const struct eel_member *member
+      = eel_membership_find (&node->membership, request->call->key.issuer);
+
+  if (member == NULL || member->state == EEL_MEMBER_DEAD)
+    node_request_fail (node, request, EEL_ERROR_DECIDER_UNREACHABLE);
+  else
+    node_order_forward (node, request);
+}
+
+/* Takes a non-idempotent request to the node that issued its key. */
+void
+node_order_start (struct eel_node *node, struct node_request *request)
+{
+  if (request->call->key.issuer == node->settings.node)
+    arrived (node, request);
+  else
+    forward (node, request);
+}
+
+/*
+ * While this node is leaving it begins no order, but copies of one that has
+ * begun still get its outcome.
+ */
+static int
+refuses_new (struct eel_node *node, const struct eel_key *key)
+{
+  const struct eel_decider_record *record;
+
+  if (!node->draining)
+    return 0;
+  record = eel_decider_find (&node->coordinator.decider, key);
+  return record == NULL || record->state == EEL_DECIDER_ISSUED;
+}
+
+static enum eel_error
+check_decide (struct eel_node *node, struct node_request *request)
+{
+  const struct eel_call *call = request->call;
+
+  if (request->deadline_us <= node->now_us)
+    return EEL_ERROR_DEADLINE;
+  if (call->klass >= EEL_CLASS_COUNT || call->idempotent)
+    return EEL_ERROR_MESSAGE_INVALID;
+  if (refuses_new (node, &call->key))
+    return EEL_ERROR_LEAVING;
+  return EEL_OK;
+}
+
+/* Another node asks this one to decide about a key. */
+void
+node_order_decide (struct eel_node *node, struct eel_wire_message *wire)
+{
+  struct node_request *request
+      = node_table_add (&node->requests, wire->from, wire->call_id);
+  struct eel_wire_message *reply;
+  enum eel_error error;
+
+  if (request == NULL)
+    {
+      eel_metric_add (node->metrics.table_full, 1);
+      reply = eel_wire_new (EEL_WIRE_REPLY);
+      if (reply == NULL)
+        return;
+      reply->call_id = wire->call_id;
+      reply->answer = eel_answer_error (wire->call_id, EEL_ERROR_TABLE_FULL);
+      node_post_wire (node, wire->from, reply);
+      return;
+    }
+  request->role = NODE_DECIDE;
+  request->call = wire->call;
+  wire->call = NULL;
+  request->document = eel_document_ref (node->presets.current);
+  request->started_us = node->now_us;
+  request->klass = request->call->klass;
+  request->deadline_us = request->call->deadline_us;
+  eel_ledger_init (&request->ledger, request->call->spare);
+  error = check_decide (node, request);
+  if (error != EEL_OK)
+    node_request_fail (node, request, error);
+  else
+    arrived (node, request);
+}
+
+static struct eel_answer *
+action_answer (const struct eel_action *action)
+{
+  struct eel_answer *answer;
+
+  if (action->outcome == EEL_OUTCOME_RAN && action->answer != NULL)
+    {
+      answer = node_answer_decode (0, action->answer, action->answer_bytes);
+      if (answer != NULL)
+        return answer;
+    }
+  answer = eel_answer_error (0, action->error);
+  if (answer == NULL)
+    return NULL;
+  answer->outcome = action->outcome;
+  answer->retry = action->retry;
+  if (action->has_next_key)
+    eel_key_encode (&action->next_key, answer->next_key);
+  return answer;
+}
+
+static void
+answer_copy (struct eel_node *node, const struct eel_action *action)
+{
+  struct node_request *request
+      = node_table_get (&node->requests, action->call_id);
+
+  if (request == NULL)
+    return;
+  request->ledger.spare = action->spare;
+  node_request_answer (node, request, action_answer (action));
+}
+
+/*
+ * Takes the coordinator's actions.  Answers come first: their stored bytes
+ * are valid only until the next call into the coordinator, and the other
+ * actions make such calls.
+ */
+void
+node_order_act (struct eel_node *node,
+                const struct eel_action *actions,
+                size_t count,
+                struct node_request *arrived_request)
+{
+  uint64_t arrived_id = arrived_request != NULL ? arrived_request->slot.id : 0;
+
+  /* The payload is kept before an answer can free the request. */
+  for (size_t i = 0; i < count; i++)
+    if (actions[i].kind == EEL_ACTION_EXECUTE)
+      node_order_keep (node, &actions[i].key, arrived_request);
+  for (size_t i = 0; i < count; i++)
+    if (actions[i].kind == EEL_ACTION_ANSWER)
+      answer_copy (node, &actions[i]);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (actions[i].kind == EEL_ACTION_EXECUTE)
+        node_order_execute (node, &actions[i],
+                            node_table_get (&node->requests, arrived_id));
+      else if (actions[i].kind == EEL_ACTION_SEAL)
+        node_order_seal (node, &actions[i]);
+    }
+}
+
+static enum eel_attempt_result
+attempt_result (const struct eel_answer *answer)
+{
+  switch (answer->outcome)
+    {
+    case EEL_OUTCOME_RAN:
+      return EEL_ATTEMPT_RAN;
+    case EEL_OUTCOME_REFUSED:
+    case EEL_OUTCOME_NOT_RUN:
+      return EEL_ATTEMPT_REFUSED;
+    default:
+      return EEL_ATTEMPT_UNKNOWN;
+    }
+}
+
+/* The executor of an attempt has answered. */
+void
+node_order_replied (struct eel_node *node,
+                    const struct node_send *send,
+                    uint64_t incarnation,
+                    const struct eel_answer *answer)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  enum eel_attempt_result result = attempt_result (answer);
+  struct node_order *order = node_order_find (node, &send->key);
+  uint8_t *stored = NULL;
+  uint32_t stored_bytes = 0;
+  size_t count;
+
+  if (result == EEL_ATTEMPT_RAN)
+    stored = node_answer_encode (answer, &stored_bytes);
+  if (result == EEL_ATTEMPT_RAN && order != NULL && order->service != NULL)
+    eel_retry_budget_success (&order->service->budget);
+  if (order != NULL)
+    order->rerouted = answer->error == EEL_ERROR_LEAVING;
+  count = eel_coordinator_replied (&node->coordinator, &send->key,
+                                   send->attempt, send->target, incarnation,
+                                   result, answer->error, answer->spare, stored,
+                                   stored_bytes, node->now_us, actions);
+  node_order_act (node, actions, count, NULL);
+  free (stored);
+  order = node_order_find (node, &send->key);
+  if (order != NULL)
+    node_order_settle (node, order);
+}
+
+/* The executor's answer to a seal request. */
+void
+node_order_sealed (struct eel_node *node, const struct eel_wire_message *wire)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  struct node_order *order;
+  size_t count;
+
+  count = eel_coordinator_sealed (
+      &node->coordinator, &wire->seal.key, wire->seal.attempt, wire->from,
+      wire->from_incarnation, (enum eel_executor_state)wire->seal.state,
+      node->now_us, actions);
+  node_order_act (node, actions, count, NULL);
+  order = node_order_find (node, &wire->seal.key);
+  if (order != NULL)
+    node_order_settle (node, order);
+}
+
+/* Lets the coordinator act on timeouts and frees what has ended. */
+void
+node_order_tick (struct eel_node *node)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  size_t count;
+
+  do
+    {
+      count = eel_coordinator_tick (&node->coordinator, node->now_us, actions);
+      node_order_act (node, actions, count, NULL);
+    }
+  while (count == EEL_ACTIONS_MAX);
+  do
+    {
+      count = node->draining ? eel_coordinator_drain (&node->coordinator,
+                                                      node->now_us, actions)
+                             : 0;
+      node_order_act (node, actions, count, NULL);
+    }
+  while (count == EEL_ACTIONS_MAX);
+  for (uint32_t i = 0; node->orders.used > 0 && i < node->orders.capacity; i++)
+    {
+      struct node_order *order = node_table_at (&node->orders, i);
+
+      if (order != NULL)
+        node_order_settle (node, order);
+    }
+}
--- /dev/null
+++ b/src/node/peers.c
@@ -0,0 +1,238 @@
+#include "state.h"
+
+#include <string.h>
+
+#include "internal/hash.h"
+
+/* Entries looked at for a node before the oldest of them is replaced. */
+#define WINDOW 16
+
+static uint32_t
+first_index (uint32_t id)
+{
+  return (uint32_t)eel_hash64 (&id, sizeof id, 0) % NODE_PEERS_MAX;
+}
+
+/* Returns what is known of a node's clock and incarnation, or NULL. */
+struct node_peer *
+node_peer_find (struct eel_node *node, uint32_t id)
+{
+  uint32_t at = first_index (id);
+
+  for (uint32_t i = 0; i < WINDOW; i++)
+    {
+      struct node_peer *peer = &node->peers[(at + i) % NODE_PEERS_MAX];
+
+      if (peer->used && peer->node == id)
+        return peer;
+    }
+  return NULL;
+}
+
+static int
+replace_before (const struct node_peer *a, const struct node_peer *b)
+{
+  if (a->used != b->used)
+    return !a->used;
+  if (a->subset != b->subset)
+    return !a->subset;
+  return a->heard_us < b->heard_us;
+}
+
+/*
+ * Returns the entry of a node, a new one if needed.  When its window is full,
+ * the entry that was not heard for longest is replaced and counted; it is
+ * learnt again from the next message of that node.
+ */
+struct node_peer *
+node_peer_get (struct eel_node *node, uint32_t id)
+{
+  struct node_peer *peer = node_peer_find (node, id);
+  uint32_t at = first_index (id);
+
+  if (peer != NULL)
+    return peer;
+  peer = &node->peers[at];
+  for (uint32_t i = 1; i < WINDOW; i++)
+    {
+      struct node_peer *other = &node->peers[(at + i) % NODE_PEERS_MAX];
+
+      if (replace_before (other, peer))
+        peer = other;
+    }
+  node->peers_replaced += peer->used;
+  memset (peer, 0, sizeof *peer);
+  peer->node = id;
+  peer->used = 1;
+  return peer;
+}
+
+static void
+executor_restarted (struct eel_node *node, const struct node_peer *peer)
+{
+  struct eel_action actions[EEL_ACTIONS_MAX];
+  size_t count;
+
+  do
+    {
+      count = eel_coordinator_executor_lost (&node->coordinator, peer->node,
+                                             peer->incarnation, node->now_us,
+                                             actions);
+      node_order_act (node, actions, count, NULL);
+    }
+  while (count == EEL_ACTIONS_MAX);
+  node_send_peer_lost (node, peer->node);
+}
+
+/* Takes the sender's clock, incarnation and sign of life from a message. */
+void
+node_peer_heard (struct eel_node *node, const struct eel_wire_message *wire)
+{
+  struct node_peer *peer = node_peer_get (node, wire->from);
+  int restarted
+      = peer->incarnation != 0 && peer->incarnation != wire->from_incarnation;
+  int was_fresh = peer->fresh && !restarted;
+
+  peer->incarnation = wire->from_incarnation;
+  peer->sent_us = wire->sent_us;
+  peer->heard_us = node->now_us;
+  peer->fresh = 1;
+  if (wire->from == node->settings.node)
+    return;
+  eel_membership_heard (&node->membership, wire->from, wire->from_incarnation,
+                        node->now_us);
+  if (!was_fresh)
+    node_members_endpoint (node, wire->from);
+  if (restarted)
+    executor_restarted (node, peer);
+}
+
+/* 1 when the node has been heard recently enough to know its clock. */
+int
+node_peer_usable (struct eel_node *node, uint32_t id)
+{
+  const struct node_peer *peer = node_peer_find (node, id);
+
+  if (id == node->settings.node)
+    return 1;
+  return peer != NULL && peer->fresh
+         && node->now_us - peer->heard_us < NODE_CLOCK_LIFE_US;
+}
+
+/*
+ * Converts a local time to a node's clock.  The result is early by the time
+ * that its last message took, never late but for the clocks' rate error.
+ */
+int64_t
+node_peer_clock (struct eel_node *node, uint32_t id, int64_t local_us)
+{
+  const struct node_peer *peer = node_peer_find (node, id);
+
+  if (id == node->settings.node || peer == NULL)
+    return local_us;
+  return peer->sent_us + (local_us - peer->heard_us);
+}
+
+/* After a pause: nothing is sent to a peer until it is heard again. */
+void
+node_peers_stale (struct eel_node *node)
+{
+  eel_metric_add (node->metrics.pauses, 1);
+  for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
+    {
+      node->peers[i].fresh = 0;
+      node->peers[i].pinged_us = 0;
+    }
+  for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
+    if (node->peers[i].used && node->peers[i].subset)
+      node_members_endpoint (node, node->peers[i].node);
+}
+
+/* Pings subset peers that are stale or have been quiet. */
+void
+node_peers_tick (struct eel_node *node)
+{
+  for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
+    {
+      struct node_peer *peer = &node->peers[i];
+      int64_t wait_us = peer->fresh ? NODE_QUIET_US : NODE_PING_INTERVAL_US;
+
+      if (!peer->used || !peer->subset || peer->node == node->settings.node)
+        continue;
+      if (peer->fresh && node->now_us - peer->heard_us >= NODE_CLOCK_LIFE_US)
+        {
+          peer->fresh = 0;
+          node_members_endpoint (node, peer->node);
+        }
+      if (peer->fresh && node->now_us - peer->heard_us < wait_us)
+        continue;
+      if (peer->pinged_us != 0
+          && node->now_us - peer->pinged_us < NODE_PING_INTERVAL_US)
+        continue;
+      peer->pinged_us = node->now_us;
+      node_gossip_ping (node, peer->node, EEL_GOSSIP_PING);
+    }
+}
+
+static void
+leaving_received (struct eel_node *node, const struct eel_wire_message *wire)
+{
+  const struct node_peer *peer = node_peer_find (node, wire->from);
+
+  if (peer == NULL || peer->incarnation != wire->from_incarnation)
+    return;
+  for (uint32_t i = 0; i < node->service_count; i++)
+    eel_routing_set_state (&node->services[i]->routing, wire->from,
+                           EEL_ENDPOINT_LEAVING, node->now_us);
+}
+
+static void
+call_received (struct eel_node *node, struct eel_wire_message *wire)
+{
+  if (wire->call == NULL)
+    return;
+  if (wire->role == EEL_WIRE_DECIDE)
+    node_order_decide (node, wire);
+  else
+    node_execute (node, wire);
+}
+
+/* Handles a message of another node, or of this node to itself. */
+void
+node_peer_received (struct eel_node *node, struct eel_wire_message *wire)
+{
+  node_peer_heard (node, wire);
+  switch (wire->kind)
+    {
+    case EEL_WIRE_CALL:
+      call_received (node, wire);
+      break;
+    case EEL_WIRE_REPLY:
+      node_send_replied (node, wire);
+      break;
+    case EEL_WIRE_SEAL:
+      node_execute_seal (node, wire);
+      break;
+    case EEL_WIRE_SEALED:
+      node_order_sealed (node, wire);
+      break;
+    case EEL_WIRE_CANCEL:
+      node_execute_cancel (node, wire->from, wire->call_id);
+      break;
+    case EEL_WIRE_GOSSIP:
+      node_gossip_received (node, wire);
+      break;
+    case EEL_WIRE_DOCUMENT_REQUEST:
+      node_documents_requested (node, wire);
+      break;
+    case EEL_WIRE_DOCUMENT:
+      node_documents_received (node, wire);
+      break;
+    case EEL_WIRE_LEAVING:
+      leaving_received (node, wire);
+      break;
+    case EEL_WIRE_VERSION_REFUSED:
+    case EEL_WIRE_KIND_COUNT:
+      break;
+    }
+}
