Handle orders under faults in the node task

A forwarded order whose link was still being opened was refused, a request timer that the loop fired early was never set again, and a seal request could name an earlier valid-until than the attempt.

The call to the issuer is repeated for up to 500 ms while it is certainly unsent; timers are set again; the valid-until that was sent is kept with the attempt. An upstream's drain ends when it is up again.

--- a/src/node/dispatch.c
+++ b/src/node/dispatch.c
@@ -4,8 +4,9 @@
 
 #include "internal/hash.h"
 
-static uint64_t
-key_hash (const struct eel_key *key)
+/* Number by which an order and its sends are found. */
+uint64_t
+node_key_hash (const struct eel_key *key)
 {
   return eel_hash64 (key->child, sizeof key->child,
                      key->serial ^ key->incarnation);
@@ -16,7 +17,7 @@
 node_order_find (const struct eel_node *node, const struct eel_key *key)
 {
   struct node_order *order
-      = node_table_find (&node->orders, key->issuer, key_hash (key));
+      = node_table_find (&node->orders, key->issuer, node_key_hash (key));
 
   while (order != NULL && !eel_key_equal (&order->key, key))
     order = node_table_find_next (&node->orders, order);
@@ -37,7 +38,7 @@
   if (order != NULL || arrived == NULL || arrived->call == NULL
       || !eel_key_equal (&arrived->call->key, key))
     return order;
-  order = node_table_add (&node->orders, key->issuer, key_hash (key));
+  order = node_table_add (&node->orders, key->issuer, node_key_hash (key));
   if (order == NULL)
     {
       eel_metric_add (node->metrics.table_full, 1);
@@ -107,7 +108,8 @@
           const struct eel_endpoint *endpoint)
 {
   struct node_send *send
-      = node_send_new (node, NODE_SEND_ORDER, order->service, endpoint->node);
+      = node_send_new (node, NODE_SEND_ORDER, order->service, endpoint->node,
+                       node_key_hash (&action->key));
   enum eel_error error;
 
   if (send == NULL)
@@ -161,13 +163,19 @@
 node_order_seal (struct eel_node *node, const struct eel_action *action)
 {
   struct eel_wire_message *wire = eel_wire_new (EEL_WIRE_SEAL);
+  const struct node_send *send = node_send_of_order (
+      node, action->executor, &action->key, action->attempt);
+  int64_t valid_until_us
+      = node_peer_clock (node, action->executor, action->deadline_us);
 
   if (wire == NULL)
     return;
+  /* Not before the one that was sent: the clock's estimate varies. */
+  if (send != NULL && valid_until_us < send->valid_until_us)
+    valid_until_us = send->valid_until_us;
   wire->seal.key = action->key;
   wire->seal.attempt = action->attempt;
-  wire->seal.valid_until_us
-      = node_peer_clock (node, action->executor, action->deadline_us);
+  wire->seal.valid_until_us = valid_until_us;
   wire->to_incarnation = action->executor_incarnation;
   node_post_wire (node, action->executor, wire);
 }
--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -20,11 +20,13 @@
 }
 
 static void
-announce_leaving (struct eel_node *node, const char *reason)
+announce (struct eel_node *node, int leaving, const char *reason)
 {
-  node_audit (node, EEL_AUDIT_DRAIN, "serving", "leaving", "self", reason);
-  hand_back_queued (node, EEL_ERROR_LEAVING);
-  node_gossip_leaving (node);
+  node_audit (node, EEL_AUDIT_DRAIN, leaving ? "serving" : "leaving",
+              leaving ? "leaving" : "serving", "self", reason);
+  if (leaving)
+    hand_back_queued (node, EEL_ERROR_LEAVING);
+  node_gossip_leaving (node, leaving);
   node->members_version = 0;
   node_members_refresh (node);
 }
@@ -39,7 +41,7 @@
     return;
   node->draining = 1;
   node->drain_started_us = node->now_us;
-  announce_leaving (node, "planned stop");
+  announce (node, 1, "planned stop");
   if (!node_post (node, node->out.front, &msg))
     node->front_drained = 1;
 }
@@ -88,8 +90,9 @@
 }
 
 /*
- * The upstream's own state.  When it drains, this node leaves as an executor
- * but goes on as entry and decider.
+ * The upstream's own state.  While it drains, this node leaves as an executor
+ * but goes on as entry and decider, and serves again when a restarted
+ * upstream is up.
  */
 void
 node_upstream_state (struct eel_node *node, enum eel_upstream_state state)
@@ -101,10 +104,14 @@
     {
       node->upstream_leaving = 1;
       if (!node->draining)
-        announce_leaving (node, "the upstream is draining");
+        announce (node, 1, "the upstream is draining");
     }
   if (state == EEL_UPSTREAM_UP && node->upstream_leaving)
-    node->upstream_leaving = 0;
+    {
+      node->upstream_leaving = 0;
+      if (!node->draining)
+        announce (node, 0, "the upstream is up again");
+    }
   if (state == EEL_UPSTREAM_DOWN && before != EEL_UPSTREAM_DOWN)
     hand_back_queued (node, EEL_ERROR_NO_ENDPOINT);
 }
--- a/src/node/execute.c
+++ b/src/node/execute.c
@@ -198,12 +198,6 @@
 
   if (reply == NULL)
     return;
-  /* An earlier process of this node may have run it. */
-  if (wire->to_incarnation != node->incarnation)
-    {
-      eel_wire_free (reply);
-      return;
-    }
   state
       = eel_executor_seal (&node->executor, &wire->seal.key, wire->seal.attempt,
                            wire->seal.valid_until_us, node->now_us);
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -101,16 +101,13 @@
 {
   for (uint32_t i = 0; i < node->service_count; i++)
     {
-      struct eel_routing *routing = &node->services[i]->routing;
-      struct eel_endpoint *endpoint = eel_routing_find (routing, from);
+      struct eel_endpoint *endpoint
+          = eel_routing_find (&node->services[i]->routing, from);
 
       if (endpoint == NULL)
         continue;
       endpoint->load = *load;
       endpoint->load_at_us = node->now_us;
-      if (load->draining && endpoint->state != EEL_ENDPOINT_LEAVING)
-        eel_routing_set_state (routing, from, EEL_ENDPOINT_LEAVING,
-                               node->now_us);
     }
 }
 
@@ -141,11 +138,15 @@
   node_documents_compare (node, wire->from, &wire->gossip->revision);
 }
 
-/* Tells every node that may call this one that it is leaving. */
+/*
+ * Tells every node that may call this one whether its upstream takes work.
+ * A planned stop of the node itself is known to membership as well.
+ */
 void
-node_gossip_leaving (struct eel_node *node)
+node_gossip_leaving (struct eel_node *node, int leaving)
 {
-  eel_membership_leave (&node->membership, node->now_us);
+  if (node->draining)
+    eel_membership_leave (&node->membership, node->now_us);
   for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
     {
       const struct node_peer *peer = &node->peers[i];
@@ -157,7 +158,7 @@
       wire = eel_wire_new (EEL_WIRE_LEAVING);
       if (wire == NULL)
         return;
-      wire->value = 1;
+      wire->value = (uint32_t)leaving;
       node_post_wire (node, peer->node, wire);
     }
 }
--- a/src/node/idempotent.c
+++ b/src/node/idempotent.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Endpoints tried before moving on from an absent one costs an attempt: a
+ * service that is down as a whole must not multiply its calls. */
+#define FREE_MOVES_MAX 4
+
 static int
 outstanding (const struct node_request *request)
 {
@@ -29,7 +33,7 @@
   if (endpoint == NULL)
     return EEL_ERROR_NO_ENDPOINT;
   send = node_send_new (node, NODE_SEND_LOOKUP, request->service,
-                        endpoint->node);
+                        endpoint->node, request->slot.id);
   if (send == NULL)
     return EEL_ERROR_TABLE_FULL;
   lent = eel_ledger_lend (&request->ledger);
@@ -111,17 +115,22 @@
     case EEL_ERROR_NO_ENDPOINT:
     case EEL_ERROR_UPSTREAM_FAILED:
     case EEL_ERROR_TABLE_FULL:
+    case EEL_ERROR_INTERNAL:
       return 1;
     default:
       return 0;
     }
 }
 
-/* A leaving endpoint ran nothing, so moving on from it costs no attempt. */
+/*
+ * An endpoint that is leaving or cannot be reached ran nothing, so moving on
+ * from it costs no attempt.
+ */
 static int
 is_free (const struct node_request *request, enum eel_error error)
 {
-  return error == EEL_ERROR_LEAVING && request->tried_count < NODE_TRIED_MAX;
+  return (error == EEL_ERROR_LEAVING || error == EEL_ERROR_NO_ENDPOINT)
+         && request->tried_count < FREE_MOVES_MAX;
 }
 
 static enum eel_error
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 
 /* Records looked at for expiry in each tick. */
 #define EXPIRE_SCAN_MAX 256
+#define ROLE_TICKS 100
 
 static void
 platform_message (struct eel_node *node, const struct eel_msg *msg)
@@ -103,10 +104,14 @@
 update_role (struct eel_node *node)
 {
   struct eel_msg msg = { .kind = EEL_MSG_PLATFORM_ROLE };
-  int reader = eel_membership_is_reader (&node->membership,
-                                         node->settings.readers_per_domain);
+  int reader;
 
-  if (reader == node->reader || node->out.platform == NULL)
+  /* Ranks every member, so it is done once a second. */
+  if (node->ticks++ % ROLE_TICKS != 0 || node->out.platform == NULL)
+    return;
+  reader = eel_membership_is_reader (&node->membership,
+                                     node->settings.readers_per_domain);
+  if (reader == node->reader)
     return;
   msg.value = (uint64_t)reader;
   if (node_post (node, node->out.platform, &msg))
--- a/src/node/order.c
+++ b/src/node/order.c
@@ -7,6 +7,7 @@
  * connection takes it: opening a link needs a few round trips. */
 #define FORWARD_INTERVAL_US (10 * EEL_US_PER_MS)
 #define FORWARD_TRIES_US (500 * EEL_US_PER_MS)
+#define SWEEP_SLOTS 256
 
 static void
 arrived (struct eel_node *node, struct node_request *request)
@@ -34,8 +35,8 @@
 node_order_forward (struct eel_node *node, struct node_request *request)
 {
   const struct eel_key *key = &request->call->key;
-  struct node_send *send
-      = node_send_new (node, NODE_SEND_DECIDE, NULL, key->issuer);
+  struct node_send *send = node_send_new (node, NODE_SEND_DECIDE, NULL,
+                                          key->issuer, request->slot.id);
 
   if (send == NULL)
     {
@@ -275,8 +276,14 @@
 {
   struct eel_action actions[EEL_ACTIONS_MAX];
   struct node_order *order;
+  struct node_send *send;
   size_t count;
 
+  send = node_send_of_order (node, wire->from, &wire->seal.key,
+                             wire->seal.attempt);
+  /* A message to it is lost or refused, so no answer is to come. */
+  if (send != NULL && wire->seal.state == EEL_EXECUTOR_SEALED)
+    node_send_finish (node, send, EEL_REPLY_TIMED_OUT, NULL);
   count = eel_coordinator_sealed (
       &node->coordinator, &wire->seal.key, wire->seal.attempt, wire->from,
       wire->from_incarnation, (enum eel_executor_state)wire->seal.state,
@@ -287,6 +294,21 @@
     node_order_settle (node, order);
 }
 
+/* Frees orders that were given up without an event here, some in each tick. */
+static void
+sweep (struct eel_node *node)
+{
+  for (uint32_t i = 0; node->orders.used > 0 && i < SWEEP_SLOTS; i++)
+    {
+      struct node_order *order;
+
+      node->order_cursor = (node->order_cursor + 1) % node->orders.capacity;
+      order = node_table_at (&node->orders, node->order_cursor);
+      if (order != NULL)
+        node_order_settle (node, order);
+    }
+}
+
 /* Lets the coordinator act on timeouts and frees what has ended. */
 void
 node_order_tick (struct eel_node *node)
@@ -308,11 +330,5 @@
       node_order_act (node, actions, count, NULL);
     }
   while (count == EEL_ACTIONS_MAX);
-  for (uint32_t i = 0; node->orders.used > 0 && i < node->orders.capacity; i++)
-    {
-      struct node_order *order = node_table_at (&node->orders, i);
-
-      if (order != NULL)
-        node_order_settle (node, order);
-    }
+  sweep (node);
 }
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -182,8 +182,13 @@
   if (peer == NULL || peer->incarnation != wire->from_incarnation)
     return;
   for (uint32_t i = 0; i < node->service_count; i++)
-    eel_routing_set_state (&node->services[i]->routing, wire->from,
-                           EEL_ENDPOINT_LEAVING, node->now_us);
+    {
+      struct eel_endpoint *endpoint
+          = eel_routing_find (&node->services[i]->routing, wire->from);
+
+      if (endpoint != NULL)
+        endpoint->load.draining = wire->value != 0;
+    }
 }
 
 static void
--- a/src/node/request.c
+++ b/src/node/request.c
@@ -185,6 +185,9 @@
     node_lookup_hedge (node, request);
   else if (request->sends[0] == 0)
     node_order_forward (node, request);
+  else
+    /* The loop's coarser clock fired it early. */
+    node_request_timer (node, request, request->deadline_us);
 }
 
 static void
--- a/src/node/send.c
+++ b/src/node/send.c
@@ -6,14 +6,18 @@
 #define LATE_ANSWER_US (30 * EEL_US_PER_S)
 #define SWEEP_SLOTS 64
 
-/* Reserves the record of a call to a node; NULL, counted, at the bound. */
+/*
+ * Reserves the record of a call to a node; NULL, counted, at the bound.  The
+ * subject is the request's id or the hash of the order's key.
+ */
 struct node_send *
 node_send_new (struct eel_node *node,
                enum node_send_kind kind,
                struct node_service *service,
-               uint32_t target)
+               uint32_t target,
+               uint64_t subject)
 {
-  struct node_send *send = node_table_add (&node->sends, target, 0);
+  struct node_send *send = node_table_add (&node->sends, target, subject);
 
   if (send == NULL)
     {
@@ -69,6 +73,7 @@
     return 0;
   send->deadline_us = call->deadline_us;
   send->target_incarnation = to_incarnation;
+  send->valid_until_us = valid_until_us;
   wire->to_incarnation = to_incarnation;
   wire->valid_until_us = valid_until_us;
   if (!node_post_wire (node, send->target, wire))
@@ -226,6 +231,23 @@
   unsent (node, &send);
 }
 
+/* Returns the record of an order's attempt that is not answered, or NULL. */
+struct node_send *
+node_send_of_order (const struct eel_node *node,
+                    uint32_t target,
+                    const struct eel_key *key,
+                    uint8_t attempt)
+{
+  struct node_send *send
+      = node_table_find (&node->sends, target, node_key_hash (key));
+
+  while (send != NULL
+         && (send->kind != NODE_SEND_ORDER || send->attempt != attempt
+             || !eel_key_equal (&send->key, key)))
+    send = node_table_find_next (&node->sends, send);
+  return send;
+}
+
 /* Forgets orders' sends whose answers are long overdue, some in each tick. */
 void
 node_send_sweep (struct eel_node *node)
@@ -258,7 +280,7 @@
     if (request->sends[i] == send->slot.id)
       request->sends[i] = 0;
   node_lookup_replied (node, request, send->target,
-                       eel_answer_error (0, EEL_ERROR_NO_ENDPOINT));
+                       eel_answer_error (0, EEL_ERROR_INTERNAL));
 }
 
 /*
--- a/src/node/state.h
+++ b/src/node/state.h
@@ -171,6 +171,8 @@
   int64_t sent_us;
   int64_t deadline_us;
   uint64_t target_incarnation;
+  /* In the target's clock, as it was sent. */
+  int64_t valid_until_us;
   struct eel_key key;
 };
 
@@ -266,6 +268,8 @@
   uint64_t peers_replaced;
   uint64_t members_version;
   uint32_t sweep_cursor;
+  uint32_t order_cursor;
+  uint32_t ticks;
 
   /* The suspect that is queued or running here, or 0. */
   uint64_t suspect;
@@ -368,7 +372,8 @@
 struct node_send *node_send_new (struct eel_node *node,
                                  enum node_send_kind kind,
                                  struct node_service *service,
-                                 uint32_t target);
+                                 uint32_t target,
+                                 uint64_t subject);
 int node_send_post (struct eel_node *node,
                     struct node_send *send,
                     const struct eel_call *call,
@@ -383,6 +388,10 @@
 void node_send_unsent (struct eel_node *node,
                        const struct eel_wire_message *wire,
                        uint32_t target);
+struct node_send *node_send_of_order (const struct eel_node *node,
+                                      uint32_t target,
+                                      const struct eel_key *key,
+                                      uint8_t attempt);
 void node_send_sweep (struct eel_node *node);
 void node_send_peer_lost (struct eel_node *node, uint32_t peer);
 
@@ -412,6 +421,7 @@
 void node_order_tick (struct eel_node *node);
 
 /* dispatch.c */
+uint64_t node_key_hash (const struct eel_key *key);
 struct node_order *node_order_find (const struct eel_node *node,
                                     const struct eel_key *key);
 struct node_order *node_order_keep (struct eel_node *node,
@@ -479,7 +489,7 @@
 void node_gossip_ping (struct eel_node *node, uint32_t to, uint8_t kind);
 void node_gossip_received (struct eel_node *node,
                            const struct eel_wire_message *wire);
-void node_gossip_leaving (struct eel_node *node);
+void node_gossip_leaving (struct eel_node *node, int leaving);
 void node_gossip_join (struct eel_node *node);
 
 /* config.c */
--- a/tests/unit/node_world.cc
+++ b/tests/unit/node_world.cc
@@ -245,6 +245,12 @@
       if (eel_clock_us () >= end_us)
         return false;
       event_base_loop (base, EVLOOP_ONCE);
+      if (restart != 0)
+        {
+          stop (vm (restart));
+          start (vm (restart));
+          restart = 0;
+        }
     }
   return true;
 }
--- a/tests/unit/node_world.h
+++ b/tests/unit/node_world.h
@@ -72,6 +72,8 @@
   // Returns true when the peers task reports the message as unsent.
   std::function<bool (const struct eel_wire_message *, uint32_t to)> unsent;
   std::map<int, int> sent;
+  // Node to restart from the loop, or 0.
+  uint32_t restart = 0;
 
   explicit World (uint32_t count,
                   const char *service = "orders",
