--- a/ctl/table.c
+++ b/ctl/table.c
@@ -26,6 +26,13 @@
   return 0;
 }
 
+/* Objects inside a row are for --json only. */
+static int
+fits_cell (JsonObject *row, const char *column)
+{
+  return !JSON_NODE_HOLDS_OBJECT (json_object_get_member (row, column));
+}
+
 /* Collects the member names of all rows in the order of their first use. */
 static GPtrArray *
 collect_columns (JsonArray *rows)
@@ -34,11 +41,11 @@
 
   for (guint i = 0; i < json_array_get_length (rows); i++)
     {
-      GList *names
-          = json_object_get_members (json_array_get_object_element (rows, i));
+      JsonObject *row = json_array_get_object_element (rows, i);
+      GList *names = json_object_get_members (row);
 
       for (GList *name = names; name != NULL; name = name->next)
-        if (!has_column (columns, name->data))
+        if (!has_column (columns, name->data) && fits_cell (row, name->data))
           g_ptr_array_add (columns, g_strdup (name->data));
       g_list_free (names);
     }
--- a/src/node/nested.c
+++ b/src/node/nested.c
@@ -65,6 +65,7 @@
     bytes = default_label (call, text);
   eel_key_derive_child (&call->key, &call->root, text, bytes,
                         node->settings.key_secret);
+  call->given |= EEL_GIVEN_KEY;
   return EEL_OK;
 }
 
--- a/src/node/run.c
+++ b/src/node/run.c
@@ -90,7 +90,7 @@
   error = eel_headers_add (headers, "Eel-Class", class_names[run->klass]);
   if (error != EEL_OK || run->idempotent)
     return error;
-  eel_key_encode (&run->root, key);
+  eel_key_encode (&run->key, key);
   return eel_headers_add (headers, "Eel-Key", key);
 }
 
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -104,8 +104,11 @@
 		address = "127.0.0.1:$PLATFORM_PORT"
 	END
 	cat "$FLEET_DIR/keys.toml"
+	printf '%s' "$FLEET_SEEDS"
 }
 FLEET_NODE_EXTRA=""
+FLEET_SEEDS=""
+FLEET_SEED_COUNT=0
 
 # fleet_node ID DOMAIN_ID SERVICE UPSTREAM SLOTS CONNECTIONS: a node beside the
 # started upstream stand-in of that name; ports in $NODE_FRONT, $NODE_ADMIN.
@@ -132,6 +135,13 @@
 	curl -s -X PUT "http://127.0.0.1:$upstream_control/node?port=$NODE_FRONT" -d ""
 	FLEET_VMS="$FLEET_VMS$node_id $node_domain $node_service live 127.0.0.1:$NODE_PEER
 "
+	if [ $FLEET_SEED_COUNT -lt 3 ]; then
+		FLEET_SEEDS="$FLEET_SEEDS[[seed]]
+node = $node_id
+address = \"127.0.0.1:$NODE_PEER\"
+"
+		FLEET_SEED_COUNT=$((FLEET_SEED_COUNT + 1))
+	fi
 	FLEET_ADMINS="$FLEET_ADMINS --node 127.0.0.1:$NODE_ADMIN"
 }
 
