--- a/ctl/audit.c
+++ b/ctl/audit.c
@@ -121,7 +121,7 @@
 
   for (char **node = options->nodes; *node != NULL; node++)
     {
-      struct ctl_reply reply;
+      struct ctl_reply reply = { 0 };
       enum ctl_exit code;
 
       ctl_fetch (options, *node, "/audit?from=0", &reply);
--- a/ctl/preset.c
+++ b/ctl/preset.c
@@ -43,7 +43,7 @@
                const char *node,
                uint64_t *number)
 {
-  struct ctl_reply reply;
+  struct ctl_reply reply = { 0 };
   JsonNode *root = NULL;
   int known = 0;
 
--- a/ctl/show.c
+++ b/ctl/show.c
@@ -38,7 +38,7 @@
 
   for (char **node = options->nodes; *node != NULL; node++)
     {
-      struct ctl_reply reply;
+      struct ctl_reply reply = { 0 };
       enum ctl_exit code;
 
       ctl_fetch (options, *node, path, &reply);
@@ -64,7 +64,7 @@
 
   for (char **node = options->nodes; *node != NULL; node++)
     {
-      struct ctl_reply reply;
+      struct ctl_reply reply = { 0 };
       enum ctl_exit code;
 
       ctl_fetch (options, *node, "/metrics", &reply);
--- a/src/admin/admin.c
+++ b/src/admin/admin.c
@@ -246,7 +246,7 @@
 {
   const struct eel_endpoint_address *address = &admin->settings->admin;
   struct evhttp_bound_socket *bound;
-  struct sockaddr_in own;
+  struct sockaddr_in own = { 0 };
   socklen_t bytes = sizeof own;
 
   admin->http = evhttp_new (admin->base);
