--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -1,4 +1,4 @@
-#include "state.h"
+#include "node.h"
 
 #include <string.h>
 
--- a/src/node/nested.c
+++ b/src/node/nested.c
@@ -1,4 +1,4 @@
-#include "state.h"
+#include "node.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -65,6 +65,8 @@
     bytes = default_label (call, text);
   eel_key_derive_child (&call->key, &call->root, text, bytes,
                         node->settings.key_secret);
+  /* The codec sends keys of calls that are marked so. */
+  call->given |= EEL_GIVEN_KEY;
   return EEL_OK;
 }
 
