Close idle upstream connections that have ended before using them

Cause: an upstream that closes a keep-alive connection leaves an event in the loop; a run put on it before that event ends as broken, so its caller is told "unknown" although nothing ran. Change: the socket is peeked at before a request is put on it; an ended one, or one with input that nobody asked for, is replaced by a new connection.

--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -67,6 +67,7 @@
 struct upstream_conn *upstream_conn_find (struct eel_upstream *upstream,
                                           uint64_t call_id);
 int upstream_conn_open (struct upstream_conn *conn);
+void upstream_conn_check (struct upstream_conn *conn);
 void upstream_conn_doom (struct upstream_conn *conn);
 void upstream_conn_reap (struct eel_upstream *upstream);
 /* upstream_run.c */
--- a/src/http/upstream_conn.c
+++ b/src/http/upstream_conn.c
@@ -1,8 +1,8 @@
 #include "http/upstream.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-
 #include <sys/socket.h>
 
 /*
@@ -103,6 +103,27 @@
   eel_metric_set (upstream->metrics.connections, upstream->open_count);
 }
 
+/*
+ * Closes an idle connection that the upstream has closed, or on which it has
+ * sent something, before a request is put on it: the event may still wait in
+ * the loop, and a request sent now would end as broken.
+ */
+void
+upstream_conn_check (struct upstream_conn *conn)
+{
+  struct bufferevent *bev;
+  char byte;
+  evutil_socket_t fd;
+
+  if (conn->evhttp == NULL)
+    return;
+  bev = evhttp_connection_get_bufferevent (conn->evhttp);
+  fd = bufferevent_getfd (bev);
+  if (fd < 0 || recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0
+      || (errno != EAGAIN && errno != EWOULDBLOCK))
+    close_conn (conn);
+}
+
 /* Frees doomed connections and those unused for long. */
 void
 upstream_conn_reap (struct eel_upstream *upstream)
--- a/src/http/upstream_run.c
+++ b/src/http/upstream_run.c
@@ -142,6 +142,7 @@
 {
   enum evhttp_cmd_type type;
 
+  upstream_conn_check (conn);
   if (!upstream_request_method (conn->call->method, &type)
       || (conn->evhttp == NULL && !upstream_conn_open (conn)))
     return 0;
