--- a/include/eelgrasslatch/coordinator.h
+++ b/include/eelgrasslatch/coordinator.h
@@ -129,7 +129,10 @@
                            uint32_t waiter_capacity,
                            int64_t seal_timeout_us);
 void eel_coordinator_finish (struct eel_coordinator *coordinator);
-/* A copy arrived at its decider. */
+/*
+ * A copy arrived at its decider.  The owner passes each message on once: a
+ * repeated one would count as a resend, and bring a child's loan twice.
+ */
 size_t eel_coordinator_arrived (struct eel_coordinator *coordinator,
                                 const struct eel_arrival *arrival,
                                 int64_t now_us,
--- a/src/execution/coordinator_events.c
+++ b/src/execution/coordinator_events.c
@@ -136,6 +136,10 @@
   if (executor_incarnation != record->executor_incarnation
       && result == EEL_ATTEMPT_REFUSED)
     result = EEL_ATTEMPT_UNKNOWN;
+  /* The text of a refusal would contradict the outcome. */
+  if (result == EEL_ATTEMPT_UNKNOWN
+      && eel_error_info (error)->outcome != EEL_OUTCOME_UNKNOWN)
+    error = EEL_ERROR_OUTCOME_UNKNOWN;
   if (result == EEL_ATTEMPT_RAN)
     ran (coordinator, record, unused_spare, &fresh, now_us, &out);
   else if (result == EEL_ATTEMPT_REFUSED)
--- a/tests/fuzz/exsim.h
+++ b/tests/fuzz/exsim.h
@@ -226,6 +226,8 @@
   uint64_t run_count;
   uint64_t attempt_count;
   uint64_t outcomes[EEL_OUTCOME_COUNT];
+  uint64_t unknown_by_error[EEL_ERROR_COUNT];
+  uint32_t deepest;
   uint64_t orders_ended;
   /* Orders that ran never, once, and more often. */
   uint64_t orders_ran[3];
@@ -277,6 +279,7 @@
 uint8_t exsim_expected_answer (uint64_t order,
                                uint64_t position,
                                uint8_t answer[ANSWER_MAX]);
+uint32_t exsim_depth (uint64_t position);
 uint32_t exsim_children (uint64_t order, uint64_t position);
 void exsim_oracle_attempt (struct exsim *s, const struct run *run, int ran);
 void exsim_oracle_told (struct exsim *s,
--- a/tests/fuzz/exsim_oracle.c
+++ b/tests/fuzz/exsim_oracle.c
@@ -26,6 +26,16 @@
   return (uint8_t)(8 + hash % (ANSWER_MAX - 8));
 }
 
+uint32_t
+exsim_depth (uint64_t position)
+{
+  uint32_t depth = 1;
+
+  for (; position > 0; position = (position - 1) / 4)
+    depth++;
+  return depth;
+}
+
 /*
  * Number of nested calls, at most 3: 7 deep along the first child of one
  * order in four, else shallow.  Child i of p is 4p + i + 1; the root is 0.
@@ -33,10 +43,10 @@
 uint32_t
 exsim_children (uint64_t order, uint64_t position)
 {
-  uint32_t depth = 1, draw;
+  uint32_t depth = exsim_depth (position), draw;
   int on_spine = 1;
 
-  for (uint64_t p = position; p > 0; p = (p - 1) / 4, depth++)
+  for (uint64_t p = position; p > 0; p = (p - 1) / 4)
     on_spine = on_spine && (p - 1) % 4 == 0;
   draw = (uint32_t)(eel_hash64 (&position, sizeof position, order + 1) % 100);
   if (depth >= DEPTH_MAX)
@@ -80,6 +90,8 @@
 
   s->attempt_count++;
   s->run_count += (uint64_t)ran;
+  if (ran && exsim_depth (run->position) > s->deepest)
+    s->deepest = exsim_depth (run->position);
   if (o->id != run->order)
     return;
   index = position_index (o, run->position);
@@ -110,6 +122,8 @@
   uint8_t bytes;
 
   s->outcomes[event->outcome]++;
+  if (event->outcome == EEL_OUTCOME_UNKNOWN)
+    s->unknown_by_error[event->error]++;
   if (o->id != call->order)
     return;
   if (event->outcome == EEL_OUTCOME_NOT_RUN)
--- a/tests/fuzz/fuzz_execution.c
+++ b/tests/fuzz/fuzz_execution.c
@@ -59,12 +59,17 @@
   printf ("fuzz_execution seed %" PRIu64 " steps %" PRIu64 " orders %" PRIu64
           " attempts %" PRIu64 " runs %" PRIu64 " ran %" PRIu64
           " not-run %" PRIu64 " unknown %" PRIu64 " refused %" PRIu64
-          " steps/s %.0f digest %016" PRIx64 "\n",
+          " depth %u steps/s %.0f digest %016" PRIx64 "\n",
           options->seed, s->steps, s->orders_ended, s->attempt_count,
           s->run_count, s->outcomes[EEL_OUTCOME_RAN],
           s->outcomes[EEL_OUTCOME_NOT_RUN], s->outcomes[EEL_OUTCOME_UNKNOWN],
-          s->outcomes[EEL_OUTCOME_REFUSED], (double)s->steps / taken,
-          s->digest);
+          s->outcomes[EEL_OUTCOME_REFUSED], s->deepest,
+          (double)s->steps / taken, s->digest);
+  printf ("unknown by cause:");
+  for (int i = 0; i < EEL_ERROR_COUNT; i++)
+    if (s->unknown_by_error[i] > 0)
+      printf (" %s %" PRIu64, eel_error_info (i)->name, s->unknown_by_error[i]);
+  printf ("\n");
   if (failed)
     {
       printf ("VIOLATION at step %" PRIu64 ", order %" PRIu64 ": %s\n",
--- a/tests/unit/test_coordinator.cc
+++ b/tests/unit/test_coordinator.cc
@@ -231,6 +231,7 @@
   begin_dispatched ();
   ASSERT_EQ (reply (EEL_ATTEMPT_REFUSED, EEL_ERROR_LEAVING, 1, 0, 101), 1u);
   EXPECT_EQ (out[0].outcome, EEL_OUTCOME_UNKNOWN);
+  EXPECT_EQ (out[0].error, EEL_ERROR_OUTCOME_UNKNOWN);
 }
 
 // Guards against an order sent elsewhere after its executor restarted.
