Publish a clean revision between the conflict and the invalid document

Cause: /healthz was still 503 from the conflict, so the test did not wait for the invalid document to be refused and could miss its audit entry. Change: revision 6 ends the conflict first; preset check names the line once.

--- a/ctl/preset.c
+++ b/ctl/preset.c
@@ -27,7 +27,7 @@
   g_free (bytes);
   if (document == NULL)
     {
-      fprintf (stderr, "%s:%u: %s\n", file, error.line, error.text);
+      fprintf (stderr, "%s: %s\n", file, error.text);
       return CTL_FAILED;
     }
   eel_revision_text (&document->revision, revision);
--- a/tests/run/test_preset.sh
+++ b/tests/run/test_preset.sh
@@ -48,7 +48,8 @@
 document 5 ordinary >"$FLEET_DIR/five.toml"
 document 5 maintenance >"$FLEET_DIR/five_other.toml"
 sed 's/^spare_attempts_max = 3/spare_attempts_max = 300/' "$FLEET_DIR/five.toml" |
-	sed 's/^revision = 5/revision = 6/' >"$FLEET_DIR/invalid.toml"
+	sed 's/^revision = 5/revision = 7/' >"$FLEET_DIR/invalid.toml"
+document 6 peak >"$FLEET_DIR/six.toml"
 publish one
 for domain in 1 2 3; do
 	fleet_upstream orders$domain --slots 10
@@ -78,6 +79,11 @@
 	publish two
 	sleep 1
 	revisions
+	echo "== a higher revision ends the conflict"
+	eventually "3 503" probe /healthz
+	publish six
+	eventually "3 peak $(hash six)" revisions
+	eventually "3 200" probe /healthz
 	echo "== invalid"
 	"$BUILD/eelgrasslatchctl" preset check "$FLEET_DIR/invalid.toml" 2>&1 | sed 's/.*invalid.toml/invalid.toml/' || true
 	publish invalid
