Free the option strings of the daemon

Cause: LeakSanitizer reported 31 bytes at the end of a planned stop, which made the exit code 1 in the sanitizer build. Change: main frees the file names that GLib's option parser allocated. Result: the scripted stop exits with 0 in the sanitizer build.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -118,29 +118,37 @@
   return code;
 }
 
-int
-main (int argc, char **argv)
+static int
+act (const struct options *options)
 {
-  struct options options = { 0 };
-
-  setlocale (LC_ALL, "C");
-  if (sodium_init () < 0)
-    return EXIT_START;
-  if (!parse_options (&argc, &argv, &options))
-    return EXIT_USAGE;
-  if (options.version)
+  if (options->version)
     {
       printf ("eelgrasslatchd %s\n", EEL_VERSION);
       return EXIT_SUCCESS;
     }
-  if (options.check_config != NULL)
-    return load_settings (options.check_config) ? EXIT_SUCCESS : EXIT_SETTINGS;
-  if (options.config == NULL)
+  if (options->check_config != NULL)
+    return load_settings (options->check_config) ? EXIT_SUCCESS
+                                                 : EXIT_SETTINGS;
+  if (options->config == NULL)
     {
       fprintf (stderr, "eelgrasslatchd: --config FILE is required\n");
       return EXIT_USAGE;
     }
-  if (!load_settings (options.config))
-    return EXIT_SETTINGS;
-  return run ();
+  return load_settings (options->config) ? run () : EXIT_SETTINGS;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct options options = { 0 };
+  int code = EXIT_USAGE;
+
+  setlocale (LC_ALL, "C");
+  if (sodium_init () < 0)
+    return EXIT_START;
+  if (parse_options (&argc, &argv, &options))
+    code = act (&options);
+  g_free (options.config);
+  g_free (options.check_config);
+  return code;
 }
