Keep the nested attempts test off one endpoint

The test made a service call itself. Refusals shrink the limit of an endpoint to one, and then the parent held the only slot that its child waited for, so the test timed out in about one run of ten.

--- a/tests/unit/test_node_nested.cc
+++ b/tests/unit/test_node_nested.cc
@@ -80,7 +80,12 @@
 // request stay within its calls plus its spare attempts.
 TEST (node_nested, attempts_stay_within_the_pool_of_the_root)
 {
-  World world (3);
+  // Children go to a service of their own: an endpoint whose limit is one
+  // cannot run a call and the call that it waits for.
+  World world (6, "orders", [] (struct eel_settings &settings) {
+    if (settings.node > 3)
+      strcpy (settings.service, "stock");
+  });
   size_t parents = 0, children = 0;
   std::map<uint64_t, std::pair<Vm *, uint64_t>> waiting;
 
@@ -89,13 +94,14 @@
       if (strcmp (msg->call->target, "/child") == 0)
         {
           children++;
-          v.done (msg->call_id, EEL_RUN_REFUSED);
+          v.done (msg->call_id, EEL_RUN_BROKEN);
           return;
         }
       uint64_t id = msg->call_id, number = 6000 + parents++;
 
       waiting[number] = { &v, id };
       v.world->call (v.settings.node, number, [id] (struct eel_call &c) {
+        strcpy (c.service, "stock");
         strcpy (c.target, "/child");
         c.parent = id;
       });
