Keep idle upstream places in a list

Cause: each run looked through all places of the pool; perf showed 2.8% of the CPU there with 500 slots at 5,000 calls/s. Change: a last-in-first-out list of idle places.

--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -81,6 +81,7 @@
       struct upstream_conn *conn = &upstream->conns[i];
 
       conn->upstream = upstream;
+      upstream_conn_give_back (conn);
       conn->timeout = evtimer_new (upstream->base, upstream_run_timeout, conn);
       if (conn->timeout == NULL)
         return 0;
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -17,6 +17,7 @@
 struct upstream_conn
 {
   struct eel_upstream *upstream;
+  struct upstream_conn *next_idle;
   struct evhttp_connection *evhttp;
   /* The run that it carries, or NULL when it is idle. */
   struct eel_call *call;
@@ -50,6 +51,7 @@
   struct eel_endpoint_address address;
   char health_path[EEL_PATH_BYTES];
   struct upstream_conn *conns;
+  struct upstream_conn *idle;
   uint32_t conn_max;
   uint32_t open_count;
   uint32_t in_flight;
@@ -63,7 +65,8 @@
 };
 
 /* upstream_conn.c */
-struct upstream_conn *upstream_conn_idle (struct eel_upstream *upstream);
+struct upstream_conn *upstream_conn_take (struct eel_upstream *upstream);
+void upstream_conn_give_back (struct upstream_conn *conn);
 struct upstream_conn *upstream_conn_find (struct eel_upstream *upstream,
                                           uint64_t call_id);
 int upstream_conn_open (struct upstream_conn *conn);
--- a/src/http/upstream_conn.c
+++ b/src/http/upstream_conn.c
@@ -55,21 +55,25 @@
   return 1;
 }
 
-/* Returns the idle place used last, so that the others can age out. */
+/* Takes the idle place used last, so that the others can age out. */
 struct upstream_conn *
-upstream_conn_idle (struct eel_upstream *upstream)
+upstream_conn_take (struct eel_upstream *upstream)
 {
-  struct upstream_conn *best = NULL;
+  struct upstream_conn *conn = upstream->idle;
 
-  for (uint32_t i = 0; i < upstream->conn_max; i++)
-    {
-      struct upstream_conn *conn = &upstream->conns[i];
+  if (conn != NULL)
+    upstream->idle = conn->next_idle;
+  return conn;
+}
 
-      if (conn->call == NULL && !conn->doomed
-          && (best == NULL || conn->used_us > best->used_us))
-        best = conn;
-    }
-  return best;
+/* Gives a place back; a doomed one follows when its connection is freed. */
+void
+upstream_conn_give_back (struct upstream_conn *conn)
+{
+  if (conn->doomed)
+    return;
+  conn->next_idle = conn->upstream->idle;
+  conn->upstream->idle = conn;
 }
 
 /* Returns the place that carries a call, or NULL. */
@@ -134,8 +138,14 @@
     {
       struct upstream_conn *conn = &upstream->conns[i];
 
-      if (conn->evhttp != NULL && conn->call == NULL
-          && (conn->doomed || now_us - conn->used_us > UPSTREAM_IDLE_US))
+      if (conn->evhttp == NULL || conn->call != NULL)
+        continue;
+      if (conn->doomed)
+        {
+          close_conn (conn);
+          upstream_conn_give_back (conn);
+        }
+      else if (now_us - conn->used_us > UPSTREAM_IDLE_US)
         close_conn (conn);
     }
 }
--- a/src/http/upstream_run.c
+++ b/src/http/upstream_run.c
@@ -43,6 +43,7 @@
   conn->call = NULL;
   conn->request = NULL;
   conn->used_us = now_us;
+  upstream_conn_give_back (conn);
   upstream->in_flight--;
   eel_metric_set (upstream->metrics.in_flight, upstream->in_flight);
   if (result == EEL_RUN_ANSWERED)
@@ -158,15 +159,22 @@
 void
 upstream_run (struct eel_upstream *upstream, struct eel_msg *msg)
 {
-  struct upstream_conn *conn = upstream_conn_idle (upstream);
+  struct upstream_conn *conn;
   int64_t now_us = eel_clock_us ();
 
   if (msg->call == NULL)
     return;
-  if (conn == NULL || msg->call->deadline_us <= now_us)
+  if (msg->call->deadline_us <= now_us)
     {
-      report (upstream, msg->call_id, EEL_RUN_NOT_SENT,
-              conn == NULL ? EEL_ERROR_OVERLOADED : EEL_ERROR_DEADLINE, NULL);
+      report (upstream, msg->call_id, EEL_RUN_NOT_SENT, EEL_ERROR_DEADLINE,
+              NULL);
+      return;
+    }
+  conn = upstream_conn_take (upstream);
+  if (conn == NULL)
+    {
+      report (upstream, msg->call_id, EEL_RUN_NOT_SENT, EEL_ERROR_OVERLOADED,
+              NULL);
       return;
     }
   conn->call = msg->call;
