Bound the messages that a node sends for anti-entropy

Cause: when a failure domain of 300 nodes returns to a fleet of 2,100, all digests differ everywhere, and each node sent 203 messages/s and 52 KB/s for 20 s (trial program, virtual time, bytes estimated). Change: a credit of 512 messages that refills at 50/s; what is left out is found by the next exchange. 10/s and 20/s were tried: with them 2,100 nodes that start at once from 8 seeds had not found each other after 50 s.

--- a/include/eelgrasslatch/membership.h
+++ b/include/eelgrasslatch/membership.h
@@ -162,6 +162,9 @@
   int64_t started_us;
   int64_t next_gossip_us;
   int64_t next_sync_us;
+  /* Messages of an exchange that may still be sent, in thousandths. */
+  int64_t sync_credit;
+  int64_t sync_credit_us;
   int64_t next_forget_us;
   int64_t acked_us;
   uint64_t refuted;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -54,6 +54,8 @@
   /* Answers to probes of an earlier process must not match. */
   membership->sequence = eel_rng_next (&membership->rng) >> 8;
   membership->started_us = now_us;
+  /* The first refill fills the whole burst. */
+  membership->sync_credit_us = now_us - 3600 * EEL_US_PER_S;
   membership->last_tick_us = now_us;
   membership->acked_us = now_us - 1;
   membership->next_probe_us
--- a/src/membership/sync.c
+++ b/src/membership/sync.c
@@ -3,6 +3,38 @@
 /* Ranges of this size are sent whole instead of being divided further. */
 #define SYNC_WHOLE 14
 
+/*
+ * Bounds what a node sends for exchanges: when a partition of many nodes
+ * heals, all tables differ everywhere and each answer would cause two more.
+ * What is left out is found again by the next exchange.  The burst lets one
+ * new node fetch the table of 2,100 members at once.
+ */
+#define SYNC_BURST 512
+#define SYNC_PER_S 50
+
+static int
+take_credit (struct eel_membership *membership)
+{
+  if (membership->sync_credit < 1000)
+    return 0;
+  membership->sync_credit -= 1000;
+  return 1;
+}
+
+/* Adds what the time since the last call allows. */
+void
+eel_sync_refill (struct eel_membership *membership, int64_t now_us)
+{
+  int64_t gap_us = now_us - membership->sync_credit_us;
+
+  if (gap_us < EEL_US_PER_MS)
+    return;
+  membership->sync_credit_us = now_us;
+  membership->sync_credit += gap_us / EEL_US_PER_MS * SYNC_PER_S;
+  if (membership->sync_credit > SYNC_BURST * 1000)
+    membership->sync_credit = SYNC_BURST * 1000;
+}
+
 /*
  * Anti-entropy: two nodes whose digests differ descend together through a
  * binary tree of ranges of hashed node numbers and exchange only the ranges
@@ -14,10 +46,13 @@
               uint32_t range,
               struct eel_outbox *outbox)
 {
-  struct eel_gossip *message
-      = eel_message_new (membership, outbox, to, EEL_GOSSIP_SYNC_REQUEST, 0);
+  struct eel_gossip *message;
   uint32_t count;
 
+  if (!take_credit (membership))
+    return;
+  message
+      = eel_message_new (membership, outbox, to, EEL_GOSSIP_SYNC_REQUEST, 0);
   if (message == NULL)
     return;
   message->target = range;
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -79,6 +79,7 @@
                       int64_t now_us,
                       struct eel_outbox *outbox);
 
+void eel_sync_refill (struct eel_membership *membership, int64_t now_us);
 void eel_sync_compare (struct eel_membership *membership,
                        const struct eel_gossip *message,
                        int64_t now_us,
--- a/src/membership/tick.c
+++ b/src/membership/tick.c
@@ -234,6 +234,7 @@
 
   late_tick (membership, now_us);
   membership->last_tick_us = now_us;
+  eel_sync_refill (membership, now_us);
   eel_probe_expire (membership, now_us, &outbox);
   expire_suspects (membership, now_us);
   probe_next (membership, now_us, &outbox);
