--- a/src/admission/pick.c
+++ b/src/admission/pick.c
@@ -7,31 +7,40 @@
 #define LOOKUP_FIRST (EEL_CLASS_LOOKUP * 2)
 #define LOOKUP_LAST (EEL_CLASS_LOOKUP * 2 + 1)
 
-/* Notes since when the oldest queued lookup is older than the target. */
-void
-eel_pick_observe (struct eel_admission *admission, int64_t now_us)
+/* Returns 1 when the oldest short lookup of a list is above the target. */
+static int
+above_target (const struct eel_admission *admission,
+              uint32_t list,
+              int64_t now_us)
 {
-  int above = 0;
+  uint32_t i = admission->heads[list];
 
-  for (uint32_t list = LOOKUP_FIRST; list <= LOOKUP_LAST; list++)
-    {
-      uint32_t head = admission->heads[list];
+  while (i != EEL_ADMISSION_NONE && admission->queue[i].work.is_long)
+    i = admission->queue[i].next;
+  return i != EEL_ADMISSION_NONE
+         && now_us - admission->queue[i].work.arrived_us
+                > admission->config.queue_target_us;
+}
 
-      if (head != EEL_ADMISSION_NONE
-          && now_us - admission->queue[head].work.arrived_us
-                 > admission->config.queue_target_us)
-        above = 1;
-    }
-  if (!above)
+/*
+ * Notes since when the oldest queued lookup is older than the target.  Long
+ * work does not count: it waits for its share while short work flows.
+ */
+void
+eel_pick_observe (struct eel_admission *admission, int64_t now_us)
+{
+  if (!above_target (admission, LOOKUP_FIRST, now_us)
+      && !above_target (admission, LOOKUP_LAST, now_us))
     admission->above_target_since_us = 0;
   else if (admission->above_target_since_us == 0)
     admission->above_target_since_us = now_us;
 }
 
-static int
-newest_first (const struct eel_admission *admission,
-              uint32_t list,
-              int64_t now_us)
+/* Returns 1 when a list is served newest first now. */
+int
+eel_pick_newest_first (const struct eel_admission *admission,
+                       uint32_t list,
+                       int64_t now_us)
 {
   if (list < LOOKUP_FIRST || admission->above_target_since_us == 0)
     return 0;
@@ -65,7 +74,7 @@
 static uint32_t
 pick_in_list (struct eel_admission *admission, uint32_t list, int64_t now_us)
 {
-  int newest = newest_first (admission, list, now_us);
+  int newest = eel_pick_newest_first (admission, list, now_us);
   uint32_t other = EEL_ADMISSION_NONE;
   uint32_t i = newest ? admission->tails[list] : admission->heads[list];
 
@@ -117,9 +126,10 @@
 
   for (uint32_t list = EEL_ADMISSION_LISTS - 1; list > own; list--)
     if (admission->list_queued[list] > 0)
-      return newest_first (admission, list, now_us) ? admission->heads[list]
-                                                    : admission->tails[list];
-  if (newest_first (admission, own, now_us))
+      return eel_pick_newest_first (admission, list, now_us)
+                 ? admission->heads[list]
+                 : admission->tails[list];
+  if (eel_pick_newest_first (admission, own, now_us))
     return admission->heads[own];
   return EEL_ADMISSION_NONE;
 }
@@ -133,7 +143,7 @@
   uint32_t list = eel_queue_list (work);
   uint32_t bucket = eel_fair_bucket (work);
 
-  if (!newest_first (admission, list, now_us))
+  if (!eel_pick_newest_first (admission, list, now_us))
     return EEL_ADMISSION_NONE;
   for (uint32_t i = admission->heads[list]; i != EEL_ADMISSION_NONE;
        i = admission->queue[i].next)
