--- a/tests/standin/upstream.c
+++ b/tests/standin/upstream.c
@@ -120,7 +120,9 @@
   end_job (job);
 }
 
-/* A nested call has ended; its failure fails the job. */
+static int call_next (struct job *job);
+
+/* A nested call has ended; its last failure fails the job. */
 static void
 nested_done (struct evhttp_request *reply, void *data)
 {
@@ -134,6 +136,8 @@
         end_job (job);
       return;
     }
+  if (status != 200 && ++job->tries < upstream.tries_max && call_next (job))
+    return;
   if (status != 200)
     upstream.wasted_ms += job->work_ms;
   answer_job (job, status == 200 ? 200 : 502);
--- a/tests/standin/upstream.h
+++ b/tests/standin/upstream.h
@@ -16,6 +16,7 @@
   uint8_t used;
   uint8_t running;
   uint8_t cancellable;
+  uint8_t tries;
   uint64_t order;
   /* NULL once the caller has gone. */
   struct evhttp_request *request;
@@ -47,6 +48,8 @@
   const char *reports;
   char *next;
   uint16_t node_port;
+  /* Tries of a nested call, for the baseline without control. */
+  uint32_t tries_max;
   struct evhttp_connection *node[NODE_CONNECTIONS];
   uint32_t node_turn;
   struct job jobs[JOBS_MAX];
--- a/tests/standin/upstream_common.c
+++ b/tests/standin/upstream_common.c
@@ -221,7 +221,7 @@
     { "speed", 1, NULL, 'f' },   { "cold-start-s", 1, NULL, 'c' },
     { "next", 1, NULL, 'n' },    { "node", 1, NULL, 'o' },
     { "reports", 1, NULL, 'r' }, { "exit-on-crash", 0, NULL, 'x' },
-    { NULL, 0, NULL, 0 },
+    { "tries", 1, NULL, 't' },   { NULL, 0, NULL, 0 },
   };
   int option;
 
@@ -255,6 +255,9 @@
       case 'r':
         standin->reports = optarg;
         break;
+      case 't':
+        standin->tries_max = (uint32_t)atoi (optarg);
+        break;
       case 'x':
         standin->exit_on_crash = 1;
         break;
