Bound the front by descriptors and name the preset in its refusals

Cause: without descriptors accept fails at once again and the loop spins; a peer's header with a line end could split an answer; refusals of the front said "Eel-Preset: 0"; tests/run/test_whole_path.sh was random, because a forged key was refused by the front or by the node, with two texts, as its characters fell. Header names and values of answers are checked before they are written.

--- a/src/http/front.c
+++ b/src/http/front.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "http/fields.h"
 
@@ -39,6 +40,9 @@
   own->accepted = eel_metrics_get (metrics, EEL_METRIC_COUNTER,
                                    "eel_front_accepted_total", "",
                                    "Caller connections taken.");
+  own->accept_failed = eel_metrics_get (
+      metrics, EEL_METRIC_COUNTER, "eel_front_accept_failed_total", "",
+      "Connections that could not be accepted, such as without descriptors.");
   own->requests = eel_metrics_get (metrics, EEL_METRIC_COUNTER,
                                    "eel_front_requests_total", "",
                                    "Complete requests received.");
@@ -104,6 +108,8 @@
       msg->body.data = NULL;
       msg->body.bytes = 0;
     }
+  if (msg->answer->revision > front->revision)
+    front->revision = msg->answer->revision;
   front_slot_release (conn);
   eel_metric_set (front->metrics.open, front->open_count);
   front_answer_write (conn, msg->answer);
@@ -128,6 +134,9 @@
 
   (void)fd;
   (void)what;
+  if (front->accept_paused && !front->draining)
+    evconnlistener_enable (front->htp->server);
+  front->accept_paused = 0;
   front_conn_sweep (front, now_us);
   front_linger_sweep (front, now_us);
   check_drained (front);
@@ -151,12 +160,49 @@
                                                   : address.in.sin_port);
 }
 
+/*
+ * Without descriptors accept fails again at once, so accepting stops until
+ * the next sweep.
+ */
+static void
+accept_failed (struct evconnlistener *listener, void *data)
+{
+  /* evhtp made the listener, so the data is evhtp's. */
+  const evhtp_t *htp = data;
+  struct eel_front *front = htp->arg;
+
+  evconnlistener_disable (listener);
+  front->accept_paused = 1;
+  eel_metric_add (front->metrics.accept_failed, 1);
+}
+
+/*
+ * Leaves descriptors for the upstream, the peers (at most 256 on demand and
+ * the subset), the operators and the platform.
+ */
+static uint32_t
+connection_limit (const struct eel_settings *settings)
+{
+  struct rlimit files;
+  uint64_t reserved = FRONT_RESERVED_FILES;
+
+  reserved += settings->upstream_slots < settings->upstream_connections
+                  ? settings->upstream_slots
+                  : settings->upstream_connections;
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0
+      || files.rlim_cur >= reserved + FRONT_CONNECTIONS_MAX)
+    return FRONT_CONNECTIONS_MAX;
+  if (files.rlim_cur < reserved + FRONT_CONNECTIONS_MIN)
+    return FRONT_CONNECTIONS_MIN;
+  return (uint32_t)(files.rlim_cur - reserved);
+}
+
 static int
 start_listener (struct eel_front *front, const struct eel_settings *settings)
 {
   int fd;
 
-  front->htp = evhtp_new (front->base, NULL);
+  front->htp = evhtp_new (front->base, front);
   if (front->htp == NULL)
     return 0;
   evhtp_set_post_accept_cb (front->htp, front_conn_accepted, front);
@@ -171,6 +217,7 @@
                  settings->front.port);
       return 0;
     }
+  evconnlistener_set_error_cb (front->htp->server, accept_failed);
   fd = evconnlistener_get_fd (front->htp->server);
   front->port = bound_port (fd);
   return 1;
@@ -195,7 +242,7 @@
     return NULL;
   eel_http_ignore_sigpipe ();
   front->base = base;
-  front->conn_max = FRONT_CONNECTIONS_MAX;
+  front->conn_max = connection_limit (settings);
   front->open_max = settings->calls_max;
   register_metrics (front, metrics);
   if (front_slots_init (front, FRONT_CONNECTIONS_MAX)
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -13,6 +13,9 @@
 #define FRONT_HEAD_BYTES_MAX                                                   \
   (EEL_HEADER_BYTES_MAX + EEL_TARGET_MAX + 8 * EEL_HEADERS_MAX)
 #define FRONT_CONNECTIONS_MAX 4096
+#define FRONT_CONNECTIONS_MIN 64
+/* Descriptors of the process that are not for callers or the upstream. */
+#define FRONT_RESERVED_FILES 400
 #define FRONT_LINGERS_MAX 64
 #define FRONT_LINGER_BYTES_MAX (4 * EEL_BODY_BYTES_MAX)
 #define FRONT_LINGER_US (2 * EEL_US_PER_S)
@@ -85,6 +88,7 @@
   struct eel_metric *connections;
   struct eel_metric *open;
   struct eel_metric *accepted;
+  struct eel_metric *accept_failed;
   struct eel_metric *requests;
   struct eel_metric *cancelled;
   struct eel_metric *expired;
@@ -109,8 +113,11 @@
   uint32_t slot_free;
   uint32_t open_count;
   struct front_linger lingers[FRONT_LINGERS_MAX];
+  /* Greatest preset revision seen in an answer, for our own refusals. */
+  uint64_t revision;
   /* Connections freed; tells whether evhtp freed one inside a call. */
   uint64_t freed_count;
+  uint8_t accept_paused;
   uint8_t draining;
   uint8_t drained;
   struct front_metrics metrics;
@@ -139,9 +146,11 @@
 /* front_answer.c */
 void front_answer_write (struct front_conn *conn,
                          const struct eel_answer *answer);
-struct eel_answer *front_answer_refusal (uint64_t call_id,
+struct eel_answer *front_answer_refusal (const struct eel_front *front,
+                                         uint64_t call_id,
                                          const struct front_refusal *refusal);
-void front_answer_raw (struct bufferevent *bev,
+void front_answer_raw (const struct eel_front *front,
+                       struct bufferevent *bev,
                        const struct front_refusal *refusal);
 /* front_linger.c */
 void front_linger_begin (struct eel_front *front,
--- a/src/http/front_answer.c
+++ b/src/http/front_answer.c
@@ -53,7 +53,10 @@
     {
       const char *name = headers->items[i].name;
 
-      if (eel_http_has_prefix (name, "Eel-")
+      /* A peer's message could hold line ends that split the answer. */
+      if (!eel_http_is_token (name)
+          || !eel_http_is_value (headers->items[i].value)
+          || eel_http_has_prefix (name, "Eel-")
           || eel_http_is_hop_by_hop (headers, name)
           || (strcasecmp (name, "Content-Length") == 0 && !is_head)
           || (strcasecmp (name, "Retry-After") == 0
@@ -112,7 +115,9 @@
 
 /* Returns an answer whose text names what was refused. */
 struct eel_answer *
-front_answer_refusal (uint64_t call_id, const struct front_refusal *refusal)
+front_answer_refusal (const struct eel_front *front,
+                      uint64_t call_id,
+                      const struct front_refusal *refusal)
 {
   struct eel_answer *answer = eel_answer_error (call_id, refusal->error);
   char text[256];
@@ -120,6 +125,7 @@
 
   if (answer == NULL)
     return NULL;
+  answer->revision = front->revision;
   length = snprintf (text, sizeof text, "%s: %s\n",
                      eel_error_info (refusal->error)->name, refusal->text);
   if (length > 0 && (size_t)length < sizeof text)
@@ -129,9 +135,11 @@
 
 /* Writes a refusal to a connection that is about to be closed. */
 void
-front_answer_raw (struct bufferevent *bev, const struct front_refusal *refusal)
+front_answer_raw (const struct eel_front *front,
+                  struct bufferevent *bev,
+                  const struct front_refusal *refusal)
 {
-  struct eel_answer *answer = front_answer_refusal (0, refusal);
+  struct eel_answer *answer = front_answer_refusal (front, 0, refusal);
 
   if (answer != NULL)
     render (bufferevent_get_output (bev), answer, 0, 0);
--- a/src/http/front_conn.c
+++ b/src/http/front_conn.c
@@ -207,7 +207,10 @@
   eel_metric_add (front->metrics.expired, 1);
   front_request_gone (conn);
   if (answer != NULL)
-    front_answer_write (conn, answer);
+    {
+      answer->revision = front->revision;
+      front_answer_write (conn, answer);
+    }
   eel_answer_free (answer);
 }
 
--- a/src/http/front_linger.c
+++ b/src/http/front_linger.c
@@ -72,7 +72,7 @@
   evbuffer_drain (bufferevent_get_input (bev),
                   evbuffer_get_length (bufferevent_get_input (bev)));
   bufferevent_setcb (bev, linger_read, linger_written, linger_event, linger);
-  front_answer_raw (bev, refusal);
+  front_answer_raw (front, bev, refusal);
   bufferevent_enable (bev, EV_READ | EV_WRITE);
 }
 
--- a/src/http/front_parse.c
+++ b/src/http/front_parse.c
@@ -159,8 +159,9 @@
   if (strlen (value) >= EEL_KEY_TEXT_MAX
       || eel_key_decode (&call->key, value) != EEL_OK)
     {
-      front_refuse (refusal, EEL_ERROR_KEY_INVALID, 0,
-                    "Eel-Key must be a key given out by a node");
+      /* The node says the same of a key whose signature is wrong. */
+      front_refuse (refusal, EEL_ERROR_KEY_INVALID, 0, "%s",
+                    eel_error_info (EEL_ERROR_KEY_INVALID)->text);
       return 0;
     }
   call->given |= EEL_GIVEN_KEY;
--- a/src/http/front_request.c
+++ b/src/http/front_request.c
@@ -16,7 +16,7 @@
   struct eel_msg msg = { .kind = EEL_MSG_ANSWER, .call_id = call_id };
 
   front_count_refusal (front, conn->refusal.error);
-  msg.answer = front_answer_refusal (call_id, &conn->refusal);
+  msg.answer = front_answer_refusal (front, call_id, &conn->refusal);
   /* On failure the sweep answers the request when its time is over. */
   eel_mailbox_post (&front->inbox, &msg);
 }
