--- a/include/eelgrasslatch/coordinator.h
+++ b/include/eelgrasslatch/coordinator.h
@@ -82,7 +82,13 @@
   uint8_t spare;
   uint32_t executor;
   uint64_t executor_incarnation;
+  /* SEAL: the deadline that the attempt was dispatched with. */
   int64_t deadline_us;
+  /*
+   * SEAL: as set by eel_coordinator_valid_until, else INT64_MIN, with which
+   * the executor claims nothing of an attempt that it does not know.
+   */
+  int64_t valid_until_us;
   enum eel_error error;
   enum eel_outcome outcome;
   enum eel_retry_advice retry;
@@ -123,7 +129,10 @@
                            uint32_t waiter_capacity,
                            int64_t seal_timeout_us);
 void eel_coordinator_finish (struct eel_coordinator *coordinator);
-/* A copy arrived at its decider. */
+/*
+ * A copy arrived at its decider.  The owner passes each message on once: a
+ * repeated one would count as a resend, and bring a child's loan twice.
+ */
 size_t eel_coordinator_arrived (struct eel_coordinator *coordinator,
                                 const struct eel_arrival *arrival,
                                 int64_t now_us,
@@ -138,6 +147,14 @@
                                            uint32_t executor,
                                            uint64_t executor_incarnation,
                                            int64_t now_us);
+/*
+ * Keeps the valid-until that is sent with an attempt, in the executor's
+ * clock, for its seal.  One that is computed again later may differ.
+ */
+void eel_coordinator_valid_until (struct eel_coordinator *coordinator,
+                                  const struct eel_key *key,
+                                  uint8_t attempt,
+                                  int64_t valid_until_us);
 /* No executor could be chosen, or the message was certainly not sent. */
 size_t eel_coordinator_not_dispatched (struct eel_coordinator *coordinator,
                                        const struct eel_key *key,
