--- a/ctl/preset.c
+++ b/ctl/preset.c
@@ -27,7 +27,7 @@
   g_free (bytes);
   if (document == NULL)
     {
-      fprintf (stderr, "%s:%u: %s\n", file, error.line, error.text);
+      fprintf (stderr, "%s: %s\n", file, error.text);
       return CTL_FAILED;
     }
   eel_revision_text (&document->revision, revision);
@@ -43,7 +43,7 @@
                const char *node,
                uint64_t *number)
 {
-  struct ctl_reply reply;
+  struct ctl_reply reply = { 0 };
   JsonNode *root = NULL;
   int known = 0;
 
--- a/tests/standin/upstream.h
+++ b/tests/standin/upstream.h
@@ -16,11 +16,13 @@
   uint8_t used;
   uint8_t running;
   uint8_t cancellable;
+  uint8_t tries;
   uint64_t order;
   /* NULL once the caller has gone. */
   struct evhttp_request *request;
   struct event *timer;
   double work_ms;
+  struct job *next;
 };
 
 /* Runs of one key. */
@@ -46,9 +48,12 @@
   const char *reports;
   char *next;
   uint16_t node_port;
+  /* Tries of a nested call, for the baseline without control. */
+  uint32_t tries_max;
   struct evhttp_connection *node[NODE_CONNECTIONS];
   uint32_t node_turn;
   struct job jobs[JOBS_MAX];
+  struct job *free_jobs;
   uint32_t running;
   uint32_t waiting;
   uint64_t arrivals;
