--- a/tools/fuzz_faults.sh
+++ b/tools/fuzz_faults.sh
@@ -12,34 +12,37 @@
 
 cp -a Makefile include src tests "$scratch"
 build() {
-	(cd "$scratch" && $MAKE -j4 build/fuzz_execution) >"$scratch/make.out" 2>&1
+	(cd "$scratch" && $MAKE -j4 build/fuzz_execution build/fuzz_membership) \
+		>"$scratch/make.out" 2>&1
 }
 if ! build; then
 	cat "$scratch/make.out"
 	exit 1
 fi
 
-# Sets result to the first violation and where it was found.
+# search PROGRAM sets result to the first violation and where it was found.
 search() {
 	result=""
 	for seed in $SEEDS; do
-		"$scratch/build/fuzz_execution" --seed "$seed" --steps "$STEPS" \
+		"$scratch/build/fuzz_$1" --seed "$seed" --steps "$STEPS" \
 			>"$scratch/fuzz.out" 2>&1 && continue
-		result="seed $seed: $(sed -n 's/^VIOLATION at //p' "$scratch/fuzz.out")"
+		result="seed $seed: $(sed -n 's/^\(VIOLATION\|FAILED\) at //p' "$scratch/fuzz.out")"
 		[ "$result" = "seed $seed: " ] && result="seed $seed: stopped"
 		return
 	done
 }
 
-search
-if [ -n "$result" ]; then
-	echo "without a fault: $result"
-	exit 1
-fi
-printf '%-32s %s\n' fault found
-for patch in tests/fuzz/faults/execution_*.patch; do
+for program in execution membership; do
+	search $program
+	if [ -n "$result" ]; then
+		echo "fuzz_$program without a fault: $result"
+		exit 1
+	fi
+done
+printf '%-44s %s\n' fault found
+for patch in tests/fuzz/faults/*.patch; do
 	name=$(basename "$patch" .patch)
-	name=${name#execution_}
+	program=${name%%_*}
 	if ! patch -s -p1 -d "$scratch" <"$patch"; then
 		result=""
 		what="PATCH DOES NOT APPLY"
@@ -47,7 +50,7 @@
 		result=""
 		what="DOES NOT BUILD"
 	else
-		search
+		search "$program"
 		what=${result:-NOT FOUND}
 	fi
 	if [ -n "$result" ]; then
@@ -55,7 +58,7 @@
 	else
 		missed=$((missed + 1))
 	fi
-	printf '%-32s %s\n' "$name" "$what"
+	printf '%-44s %s\n' "$name" "$what"
 	for file in $(sed -n 's|^+++ b/||p' "$patch"); do
 		cp "$file" "$scratch/$file"
 	done
