Keep a document conflict visible and close idle peer links

The health query forgot a conflict of two documents with one revision at the next read of the same document, so tests/run/test_preset.sh found one node of three converged. Links opened on demand were never closed, each answered ping opened one, a node took calls before it had asked its seeds, and the mark of a suspect went on to the upstream.

A conflict shows until a greater revision; links outside the subsets are closed after 60 s without use, and answers go back over the link of the question; calls are refused until the node has joined; the mark is taken out. Silent peers are looked for every 50 ms and expiry scans half as many records in a tick.

--- a/src/node/config.c
+++ b/src/node/config.c
@@ -98,31 +98,32 @@
   if (result == EEL_STORE_CONFLICT_ACCEPTED)
     node_audit (node, EEL_AUDIT_DOCUMENT_CONFLICT, before, after, source,
                 "same revision, other bytes; the greater hash is in force");
-  node->document_refused = result == EEL_STORE_CONFLICT_ACCEPTED;
+  node->document_refused = 0;
+  node->document_conflict = result == EEL_STORE_CONFLICT_ACCEPTED;
   snprintf (node->document_reason, sizeof node->document_reason, "%s",
-            node->document_refused ? "two documents of one revision" : "");
+            node->document_conflict ? "two documents of one revision" : "");
   node_config_apply (node);
   node_documents_spread (node);
 }
 
 static void
 not_converged (struct eel_node *node,
+               uint8_t *flag,
                enum eel_audit_kind kind,
                const char *before,
                const char *source,
                const char *reason)
 {
-  int known = node->document_refused
-              && strncmp (node->document_reason, reason,
-                          sizeof node->document_reason - 1)
-                     == 0;
+  char text[sizeof node->document_reason];
+  int known;
 
-  node->document_refused = 1;
-  snprintf (node->document_reason, sizeof node->document_reason, "%.*s",
-            (int)sizeof node->document_reason - 1, reason);
-  /* The same refusal is found again by every read of the platform. */
+  snprintf (text, sizeof text, "%.*s", (int)sizeof text - 1, reason);
+  known = *flag && strcmp (node->document_reason, text) == 0;
+  *flag = 1;
+  memcpy (node->document_reason, text, sizeof text);
+  /* Each read of the platform finds the same refusal again. */
   if (!known)
-    node_audit (node, kind, before, before, source, node->document_reason);
+    node_audit (node, kind, before, before, source, text);
 }
 
 /* Offers a document to the store and puts it in force when it is greater. */
@@ -146,11 +147,12 @@
       accepted (node, result, before, source);
       break;
     case EEL_STORE_REFUSED:
-      not_converged (node, EEL_AUDIT_DOCUMENT_REFUSED, before, source,
-                     error.text);
+      not_converged (node, &node->document_refused, EEL_AUDIT_DOCUMENT_REFUSED,
+                     before, source, error.text);
       break;
     case EEL_STORE_CONFLICT_KEPT:
-      not_converged (node, EEL_AUDIT_DOCUMENT_CONFLICT, before, source,
+      not_converged (node, &node->document_conflict,
+                     EEL_AUDIT_DOCUMENT_CONFLICT, before, source,
                      "same revision, other bytes; ours has the greater hash");
       break;
     case EEL_STORE_SAME:
--- a/src/node/entry.c
+++ b/src/node/entry.c
@@ -108,6 +108,8 @@
     return EEL_OK;
   if (node->draining && node->front_drained)
     return EEL_ERROR_LEAVING;
+  if (!node_joined (node))
+    return EEL_ERROR_NO_ENDPOINT;
   if (request->klass >= preset->refuse_from_class)
     return EEL_ERROR_OVERLOADED;
   if (!eel_throttle_admit (&node->throttle, request->route_hash, request->klass,
--- a/src/node/execute.c
+++ b/src/node/execute.c
@@ -1,9 +1,29 @@
 #include "node.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include "internal/hash.h"
 
+/* Takes the mark of a suspect out of the headers; 1 when it was there. */
+static uint8_t
+take_suspect_mark (struct eel_headers *headers)
+{
+  for (uint32_t i = 0; i < headers->count; i++)
+    {
+      struct eel_header *item = &headers->items[i];
+
+      if (strcmp (item->name, NODE_SUSPECT_HEADER) != 0)
+        continue;
+      headers->bytes -= (uint32_t)(strlen (item->name) + strlen (item->value));
+      free (item->name);
+      free (item->value);
+      *item = headers->items[--headers->count];
+      return 1;
+    }
+  return 0;
+}
+
 static struct node_run *
 new_run (struct eel_node *node, struct eel_wire_message *wire)
 {
@@ -26,7 +46,7 @@
   run->fingerprint = call->fingerprint;
   run->deadline_us = call->deadline_us;
   run->valid_until_us = wire->valid_until_us;
-  run->suspect = eel_headers_get (&call->headers, "Eel-Suspect") != NULL;
+  run->suspect = take_suspect_mark (&call->headers);
   eel_ledger_init (&run->ledger, call->spare);
   run->work.id = run->slot.id;
   run->work.klass = run->klass;
@@ -63,7 +83,7 @@
     return EEL_ERROR_SERVICE_UNKNOWN;
   if (node->draining || node->upstream_leaving)
     return EEL_ERROR_LEAVING;
-  if (node->upstream_state != EEL_UPSTREAM_UP)
+  if (node->upstream_state != EEL_UPSTREAM_UP || !node_joined (node))
     return EEL_ERROR_NO_ENDPOINT;
   if (run->deadline_us <= node->now_us)
     return EEL_ERROR_DEADLINE;
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+/* Ticks between looks at all peers for silent ones. */
+#define PEERS_TICKS 5
 #define JOIN_INTERVAL_US (500 * EEL_US_PER_MS)
 
 static void
@@ -31,7 +33,9 @@
       node->digest = gossip[i].digest;
       wire->gossip->membership = gossip[i];
       fill (node, wire->gossip);
-      node_peer_connect (node, gossip[i].to);
+      /* Answers go back over the link that the question came by. */
+      if (gossip[i].kind != EEL_GOSSIP_ACK && gossip[i].kind != EEL_GOSSIP_SYNC)
+        node_peer_connect (node, gossip[i].to);
       node_post_wire (node, gossip[i].to, wire);
     }
 }
@@ -93,7 +97,8 @@
   node_gossip_send (node, out, count);
   node_gossip_join (node);
   node_members_refresh (node);
-  node_peers_tick (node);
+  if (node->ticks % PEERS_TICKS == 0)
+    node_peers_tick (node);
 }
 
 static void
--- a/src/node/idempotent.c
+++ b/src/node/idempotent.c
@@ -156,7 +156,7 @@
   if (request->suspect)
     return;
   request->suspect = 1;
-  eel_headers_add (&request->call->headers, "Eel-Suspect", "1");
+  eel_headers_add (&request->call->headers, NODE_SUSPECT_HEADER, "1");
 }
 
 static void
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -25,17 +25,22 @@
 
   if (member == NULL || id == node->settings.node || member->address[0] == '\0')
     return;
+  node_peer_get (node, id)->linked_us = node->now_us;
   msg.value = id;
   snprintf (msg.text, sizeof msg.text, "%s", member->address);
   node_post (node, node->out.peers, &msg);
 }
 
-static void
-peer_disconnect (struct eel_node *node, uint32_t id)
+/* Lets the peers task close its link to a node. */
+void
+node_peer_disconnect (struct eel_node *node, struct node_peer *peer)
 {
   struct eel_msg msg = { .kind = EEL_MSG_PEER_DISCONNECT };
 
-  msg.value = id;
+  if (peer->linked_us == 0)
+    return;
+  peer->linked_us = 0;
+  msg.value = peer->node;
   node_post (node, node->out.peers, &msg);
 }
 
@@ -225,7 +230,7 @@
       struct node_peer *peer = &node->peers[i];
 
       if (peer->subset == 1)
-        peer_disconnect (node, peer->node);
+        node_peer_disconnect (node, peer);
       peer->subset = peer->subset == 2;
     }
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Records looked at for expiry in each tick. */
-#define EXPIRE_SCAN_MAX 256
+#define EXPIRE_SCAN_MAX 128
 #define ROLE_TICKS 100
 
 static void
@@ -107,7 +107,7 @@
   int reader;
 
   /* Ranks every member, so it is done once a second. */
-  if (node->ticks++ % ROLE_TICKS != 0 || node->out.platform == NULL)
+  if (node->ticks % ROLE_TICKS != 0 || node->out.platform == NULL)
     return;
   reader = eel_membership_is_reader (&node->membership,
                                      node->settings.readers_per_domain);
@@ -146,6 +146,7 @@
                       EXPIRE_SCAN_MAX);
   eel_executor_expire (&node->executor, node->now_us, EXPIRE_SCAN_MAX);
   update_role (node);
+  node->ticks++;
   update_gauges (node);
   node_drain_check (node);
 }
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -187,6 +187,7 @@
                           const char *source);
 void node_members_endpoint (struct eel_node *node, uint32_t id);
 void node_peer_connect (struct eel_node *node, uint32_t id);
+void node_peer_disconnect (struct eel_node *node, struct node_peer *peer);
 
 /* gossip.c */
 void node_gossip_tick (struct eel_node *node);
--- a/src/node/peers.c
+++ b/src/node/peers.c
@@ -61,6 +61,7 @@
         peer = other;
     }
   node->peers_replaced += peer->used;
+  node_peer_disconnect (node, peer);
   memset (peer, 0, sizeof *peer);
   peer->node = id;
   peer->used = 1;
@@ -148,29 +149,40 @@
       node_members_endpoint (node, node->peers[i].node);
 }
 
-/* Pings subset peers that are stale or have been quiet. */
+static void
+look_at_peer (struct eel_node *node, struct node_peer *peer)
+{
+  int64_t quiet_us = node->now_us - peer->heard_us;
+
+  if (peer->fresh && quiet_us >= NODE_CLOCK_LIFE_US)
+    {
+      peer->fresh = 0;
+      node_members_endpoint (node, peer->node);
+    }
+  if (peer->fresh && quiet_us < NODE_QUIET_US)
+    return;
+  if (peer->pinged_us != 0
+      && node->now_us - peer->pinged_us < NODE_PING_INTERVAL_US)
+    return;
+  peer->pinged_us = node->now_us;
+  node_gossip_ping (node, peer->node, EEL_GOSSIP_PING);
+}
+
+/* Pings silent subset peers and closes links that are not used any more. */
 void
 node_peers_tick (struct eel_node *node)
 {
   for (uint32_t i = 0; i < NODE_PEERS_MAX; i++)
     {
       struct node_peer *peer = &node->peers[i];
-      int64_t wait_us = peer->fresh ? NODE_QUIET_US : NODE_PING_INTERVAL_US;
 
-      if (!peer->used || !peer->subset || peer->node == node->settings.node)
-        continue;
-      if (peer->fresh && node->now_us - peer->heard_us >= NODE_CLOCK_LIFE_US)
-        {
-          peer->fresh = 0;
-          node_members_endpoint (node, peer->node);
-        }
-      if (peer->fresh && node->now_us - peer->heard_us < wait_us)
-        continue;
-      if (peer->pinged_us != 0
-          && node->now_us - peer->pinged_us < NODE_PING_INTERVAL_US)
+      if (!peer->used || peer->node == node->settings.node)
         continue;
-      peer->pinged_us = node->now_us;
-      node_gossip_ping (node, peer->node, EEL_GOSSIP_PING);
+      if (peer->subset)
+        look_at_peer (node, peer);
+      else if (peer->linked_us != 0
+               && node->now_us - peer->linked_us >= NODE_LINK_IDLE_US)
+        node_peer_disconnect (node, peer);
     }
 }
 
--- a/src/node/query.c
+++ b/src/node/query.c
@@ -210,13 +210,14 @@
   int behind = eel_revision_compare (&node->revision_seen,
                                      &node->presets.current->revision)
                > 0;
-  int converged = !node->document_refused && !behind;
+  int faulty = node->document_refused || node->document_conflict;
+  int converged = !faulty && !behind;
 
   put_bool (out, "converged", converged);
   put_text (out, "reason",
-            node->document_refused ? node->document_reason
-            : behind               ? "a peer holds a greater document"
-                                   : "");
+            faulty   ? node->document_reason
+            : behind ? "a peer holds a greater document"
+                     : "");
   return converged ? 200 : 503;
 }
 
--- a/src/node/state.h
+++ b/src/node/state.h
@@ -32,12 +32,16 @@
 #define NODE_MEMBERS_MAX 4096
 #define NODE_TRIED_MAX 8
 #define NODE_PEERS_MAX 2048
+/* Tells an executor that the call was in flight at another one's crash. */
+#define NODE_SUSPECT_HEADER "Eel-Suspect"
 #define NODE_SUSPECTS_MAX 64
 #define NODE_CRASHED_MAX 64
 /* Subset peers that have been silent this long are pinged. */
 #define NODE_QUIET_US (20 * EEL_US_PER_S)
 /* A clock value older than this is not used for valid-until. */
 #define NODE_CLOCK_LIFE_US (60 * EEL_US_PER_S)
+/* Links outside the subsets are closed after this time without use. */
+#define NODE_LINK_IDLE_US (60 * EEL_US_PER_S)
 #define NODE_PING_INTERVAL_US (200 * EEL_US_PER_MS)
 /* Serve under the built-in defaults when nobody answered for this long. */
 #define NODE_JOIN_US (5 * EEL_US_PER_S)
@@ -94,6 +98,8 @@
   int64_t sent_us;
   int64_t heard_us;
   int64_t pinged_us;
+  /* Last time that a link to it was asked for; 0 when it is closed. */
+  int64_t linked_us;
 };
 
 enum node_role
@@ -288,8 +294,10 @@
   uint8_t seed_heard;
   uint8_t platform_heard;
   uint8_t platform_up;
-  /* The last offered document was refused, or lost a conflict. */
+  /* The last offered document was refused. */
   uint8_t document_refused;
+  /* Two documents of the revision in force exist; a greater one ends it. */
+  uint8_t document_conflict;
   char document_reason[EEL_AUDIT_TEXT_MAX];
   int64_t document_asked_us;
   int64_t next_join_us;
--- a/tests/unit/test_node_control.cc
+++ b/tests/unit/test_node_control.cc
@@ -77,6 +77,28 @@
   EXPECT_EQ (status, 200);
 }
 
+// Guards against a conflict that the next read of the platform hides.
+TEST (node_control, a_conflict_shows_until_a_greater_revision)
+{
+  World world (1);
+  uint16_t status = 0;
+
+  publish (world, 1, document (5));
+  publish (world, 1, document (5, "queue_max = 99"));
+  for (int i = 0; i < 2; i++)
+    {
+      publish (world, 1, document (5));
+      publish (world, 1, document (5, "queue_max = 99"));
+      world.pause (20);
+      world.query (1, "health", &status);
+      EXPECT_EQ (status, 503);
+    }
+  publish (world, 1, document (6));
+  world.pause (20);
+  world.query (1, "health", &status);
+  EXPECT_EQ (status, 200);
+}
+
 // Guards against a planned stop that interrupts a running request, keeps
 // queued work, takes new work, or never ends.
 TEST (node_control, a_planned_stop_finishes_and_hands_back)
@@ -153,6 +175,12 @@
 
   EXPECT_GE (eel_clock_us () - begun_us, 5 * EEL_US_PER_S);
   EXPECT_TRUE (in_force (alone, 1, "\"defaults\":true"));
+  alone.stop (alone.vm (1));
+  alone.start (alone.vm (1));
+  alone.call (1, 1);
+  ASSERT_TRUE (alone.answered (1, 1));
+  EXPECT_EQ (alone.vm (1).answers[1].error, EEL_ERROR_NO_ENDPOINT);
+  EXPECT_EQ (alone.runs (), 0u);
 }
 
 // Guards against queries that print no valid object or hide their name.
