--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -204,18 +204,6 @@
   evtimer_add (request->timer, &delay);
 }
 
-static enum load_end
-end_of (const char *outcome)
-{
-  if (outcome == NULL)
-    return LOAD_ERROR;
-  if (strcmp (outcome, "not-run") == 0)
-    return LOAD_NOT_RUN;
-  if (strcmp (outcome, "refused") == 0)
-    return LOAD_REFUSED;
-  return strcmp (outcome, "unknown") == 0 ? LOAD_UNKNOWN : LOAD_ERROR;
-}
-
 /* Chooses the next send after a failure; 0 when there is none. */
 static int
 try_again (struct request *request, struct evhttp_request *reply)
@@ -267,7 +255,7 @@
   if (status == 200)
     finish (request, LOAD_GOOD);
   else if (!try_again (request, reply))
-    finish (request, status == 0 ? LOAD_ERROR : end_of (outcome));
+    finish (request, status == 0 ? LOAD_ERROR : load_end_of (outcome));
 }
 
 static void
--- a/tests/standin/load_common.c
+++ b/tests/standin/load_common.c
@@ -260,3 +260,16 @@
   if (options->json != NULL)
     print_json (result, options);
 }
+
+/* Returns what a caller knows after an answer other than 200. */
+enum load_end
+load_end_of (const char *outcome)
+{
+  if (outcome == NULL)
+    return LOAD_ERROR;
+  if (strcmp (outcome, "not-run") == 0)
+    return LOAD_NOT_RUN;
+  if (strcmp (outcome, "refused") == 0)
+    return LOAD_REFUSED;
+  return strcmp (outcome, "unknown") == 0 ? LOAD_UNKNOWN : LOAD_ERROR;
+}
