--- a/tests/standin/load.c
+++ b/tests/standin/load.c
@@ -308,17 +308,6 @@
                        paths[request->kind]);
 }
 
-static enum load_kind
-random_kind (void)
-{
-  double unit = eel_rng_unit (&rng);
-
-  if (unit < options.order_share)
-    return LOAD_ORDER;
-  return unit < options.order_share + options.long_share ? LOAD_LONG
-                                                         : LOAD_LOOKUP;
-}
-
 static void
 begin_request (void)
 {
@@ -329,7 +318,7 @@
     return;
   memset (request, 0, sizeof *request);
   request->used = 1;
-  request->kind = random_kind ();
+  request->kind = load_random_kind (&options, &rng);
   request->started_us = now_us ();
   open_requests++;
   cell = (uint32_t)((request->started_us - started_us) / 1000
--- a/tests/standin/load.h
+++ b/tests/standin/load.h
@@ -93,6 +93,8 @@
                           uint32_t latency_us);
 uint32_t
 load_percentile (struct load_result *result, enum load_kind kind, double share);
+enum load_kind load_random_kind (const struct load_options *options,
+                                 struct eel_rng *rng);
 enum load_end load_end_of (const char *outcome);
 void load_print (struct load_result *result,
                  const struct load_options *options);
--- a/tests/standin/load_common.c
+++ b/tests/standin/load_common.c
@@ -273,3 +273,15 @@
     return LOAD_REFUSED;
   return strcmp (outcome, "unknown") == 0 ? LOAD_UNKNOWN : LOAD_ERROR;
 }
+
+/* Draws the kind of the next request. */
+enum load_kind
+load_random_kind (const struct load_options *options, struct eel_rng *rng)
+{
+  double unit = eel_rng_unit (rng);
+
+  if (unit < options->order_share)
+    return LOAD_ORDER;
+  return unit < options->order_share + options->long_share ? LOAD_LONG
+                                                           : LOAD_LOOKUP;
+}
