Join epoll changes of one loop turn in the daemon

Cause: 5% of a node's time at 5,000 calls/s went into epoll_ctl (perf, 4 s). Change: the event base uses libevent's change list.

--- a/daemon/tasks.c
+++ b/daemon/tasks.c
@@ -35,10 +35,29 @@
   return event;
 }
 
+/*
+ * Most calls add and remove the same descriptor's events within one turn; the
+ * change list joins them into one system call or none.
+ */
+static struct event_base *
+new_base (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base = NULL;
+
+  if (config == NULL)
+    return NULL;
+  if (event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST)
+      == 0)
+    base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
 static int
 open_shared (struct daemon_tasks *tasks, const struct eel_settings *settings)
 {
-  tasks->base = event_base_new ();
+  tasks->base = new_base ();
   tasks->metrics = calloc (1, sizeof *tasks->metrics);
   tasks->audit_entries
       = calloc (EEL_AUDIT_CAPACITY, sizeof *tasks->audit_entries);
