Read the VM list less often at nodes that are no readers

Cause: 192 nodes at rest made 10.2 platform calls/s, a slope of 0.048/s a node, which comes to 101/s at 2,100 nodes; the target is 100/s. Change: nodes that are no readers read the VM list every 2 to 6 minutes instead of every 30 to 90 s; members spread it by gossip.

--- a/daemon/tasks.c
+++ b/daemon/tasks.c
@@ -47,8 +47,7 @@
 
   if (config == NULL)
     return NULL;
-  if (event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST)
-      == 0)
+  if (event_config_set_flag (config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST) == 0)
     base = event_base_new_with_config (config);
   event_config_free (config);
   return base;
--- a/src/preset/read_schedule.c
+++ b/src/preset/read_schedule.c
@@ -11,6 +11,9 @@
  */
 #define WATCH_SPACING_US (6 * SECOND)
 
+/* Periods between two reads of the VM list by a node that is no reader. */
+#define VMS_PERIODS 4
+
 #define BACK_OFF_MAX_US (60 * SECOND)
 
 static int64_t
@@ -132,13 +135,30 @@
   return spread (rng, now_us, WATCH_SPACING_US);
 }
 
+/*
+ * Members learn of each other by gossip, so only the readers read the VM list
+ * often; the others read it as rarely as a safety net allows.
+ */
+static int64_t
+period (const struct eel_read_schedule *schedule, enum eel_read read)
+{
+  return read == EEL_READ_VMS && !schedule->reader
+             ? EEL_READ_PERIOD_US * VMS_PERIODS
+             : EEL_READ_PERIOD_US;
+}
+
 /* The first period is wide, so that nodes that started together spread. */
 static int64_t
-next_period (int first, int64_t now_us, struct eel_rng *rng)
+next_period (const struct eel_read_schedule *schedule,
+             enum eel_read read,
+             int64_t now_us,
+             struct eel_rng *rng)
 {
-  return first ? spread (rng, now_us + EEL_READ_SPACING_US, EEL_READ_PERIOD_US)
-               : spread (rng, now_us + EEL_READ_PERIOD_US / 2,
-                         EEL_READ_PERIOD_US);
+  int64_t period_us = period (schedule, read);
+
+  return schedule->successes[read] == 0
+             ? spread (rng, now_us + EEL_READ_SPACING_US, period_us)
+             : spread (rng, now_us + period_us / 2, period_us);
 }
 
 /* Sets when the next call of this kind is due. */
@@ -164,11 +184,11 @@
   if (read == EEL_READ_WATCH)
     {
       schedule->next_us[read] = next_watch (schedule, now_us, rng);
-      schedule->next_us[EEL_READ_PRESET] = next_period (0, now_us, rng);
+      schedule->next_us[EEL_READ_PRESET]
+          = next_period (schedule, EEL_READ_PRESET, now_us, rng);
     }
   else
-    schedule->next_us[read]
-        = next_period (schedule->successes[read] == 0, now_us, rng);
+    schedule->next_us[read] = next_period (schedule, read, now_us, rng);
   schedule->successes[read] = 1;
   if (read == EEL_READ_PRESET)
     schedule->failures[EEL_READ_WATCH] = 0;
