Refuse a crashing request after its second crash, at every node at once

Cause: tests/run/test_quarantine.sh counted 4 crashes of upstreams by one request. The entry tried again after the second crash, and other nodes heard of the refusal only with the next probe, up to a second later. Change: the entry refuses a suspect whose isolated run crashed; a node that learns of a refused fingerprint tells some peers at once; gossip carries the newest entries first.

--- a/src/node/config.c
+++ b/src/node/config.c
@@ -103,7 +103,7 @@
   snprintf (node->document_reason, sizeof node->document_reason, "%s",
             node->document_conflict ? "two documents of one revision" : "");
   node_config_apply (node);
-  node_documents_spread (node);
+  node_gossip_spread (node);
 }
 
 static void
--- a/src/node/documents.c
+++ b/src/node/documents.c
@@ -6,8 +6,6 @@
 
 /* A request for a document is repeated after this time without an answer. */
 #define ASK_INTERVAL_US (300 * EEL_US_PER_MS)
-/* Peers that are told of a new document at once. */
-#define SPREAD_PEERS 4
 
 /* Asks a peer for the document that it holds. */
 void
@@ -107,21 +105,3 @@
   node_config_offer (node, bytes, byte_count, source);
   free (bytes);
 }
-
-/* Tells a few random peers at once that a greater document is held here. */
-void
-node_documents_spread (struct eel_node *node)
-{
-  uint32_t start = eel_rng_below (&node->rng, NODE_PEERS_MAX);
-  uint32_t told = 0;
-
-  for (uint32_t i = 0; i < NODE_PEERS_MAX && told < SPREAD_PEERS; i++)
-    {
-      const struct node_peer *peer = &node->peers[(start + i) % NODE_PEERS_MAX];
-
-      if (!peer->used || !peer->subset || !peer->fresh)
-        continue;
-      node_gossip_ping (node, peer->node, EEL_GOSSIP_PING);
-      told++;
-    }
-}
--- a/src/node/gossip.c
+++ b/src/node/gossip.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 /* Ticks between looks at all peers for silent ones. */
+/* Peers that are told of a new document at once. */
+#define SPREAD_PEERS 4
 #define PEERS_TICKS 5
 #define JOIN_INTERVAL_US (500 * EEL_US_PER_MS)
 
@@ -73,6 +75,27 @@
   node_gossip_send (node, &gossip, 1);
 }
 
+/*
+ * Tells some peers at once, with a ping that carries the revision in force and
+ * the quarantine; each that learns something new tells others.
+ */
+void
+node_gossip_spread (struct eel_node *node)
+{
+  uint32_t start = eel_rng_below (&node->rng, NODE_PEERS_MAX);
+  uint32_t told = 0;
+
+  for (uint32_t i = 0; i < NODE_PEERS_MAX && told < SPREAD_PEERS; i++)
+    {
+      const struct node_peer *peer = &node->peers[(start + i) % NODE_PEERS_MAX];
+
+      if (!peer->used || !peer->subset || !peer->fresh)
+        continue;
+      node_gossip_ping (node, peer->node, EEL_GOSSIP_PING);
+      told++;
+    }
+}
+
 /* Asks the seeds for their members until one of them has answered. */
 void
 node_gossip_join (struct eel_node *node)
@@ -119,9 +142,14 @@
 static void
 merge_quarantine (struct eel_node *node, const struct eel_wire_gossip *gossip)
 {
+  int new_entries = 0;
+
   for (uint32_t i = 0; i < gossip->quarantine_count; i++)
-    eel_quarantine_merge (&node->quarantine, gossip->quarantine[i].fingerprint,
-                          gossip->quarantine[i].expires_us, node->now_us);
+    new_entries += eel_quarantine_merge (
+        &node->quarantine, gossip->quarantine[i].fingerprint,
+        gossip->quarantine[i].expires_us, node->now_us);
+  if (new_entries > 0)
+    node_gossip_spread (node);
 }
 
 /* Handles a gossip message: members, revision, load and quarantine. */
--- a/src/node/idempotent.c
+++ b/src/node/idempotent.c
@@ -180,6 +180,23 @@
   node_request_answer (node, request, answer);
 }
 
+/*
+ * A suspect that ran apart from others has crashed a second upstream.  It is
+ * refused here at once: the executor's entry comes with gossip later, and a
+ * further attempt would crash a third upstream.
+ */
+static void
+second_crash (struct eel_node *node,
+              struct node_request *request,
+              struct eel_answer *answer)
+{
+  if (eel_quarantine_merge (&node->quarantine, request->call->fingerprint,
+                            node->quarantine.life_us, node->now_us))
+    node_gossip_spread (node);
+  eel_answer_free (answer);
+  node_request_fail (node, request, EEL_ERROR_QUARANTINED);
+}
+
 /*
  * An attempt has ended.  The first good answer wins; after a failure the
  * request waits for its other attempt, or is tried again.
@@ -207,7 +224,9 @@
       eel_answer_free (answer);
       return;
     }
-  if (take_retry (node, request, answer->error) == EEL_OK)
+  if (answer->error == EEL_ERROR_UPSTREAM_FAILED && request->suspect)
+    second_crash (node, request, answer);
+  else if (take_retry (node, request, answer->error) == EEL_OK)
     retry (node, request, answer);
   else
     node_request_answer (node, request, answer);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -220,7 +220,7 @@
                                const struct eel_wire_message *wire);
 void node_documents_received (struct eel_node *node,
                               const struct eel_wire_message *wire);
-void node_documents_spread (struct eel_node *node);
+void node_gossip_spread (struct eel_node *node);
 
 /* vms.c */
 void
--- a/src/node/suspects.c
+++ b/src/node/suspects.c
@@ -96,6 +96,7 @@
       snprintf (text, sizeof text, "%016llx", (unsigned long long)crashed[i]);
       node_audit (node, EEL_AUDIT_QUARANTINE, "", text, "self",
                   "in flight at two crashes of the upstream");
+      node_gossip_spread (node);
     }
 }
 
--- a/src/retry/quarantine.c
+++ b/src/retry/quarantine.c
@@ -195,7 +195,7 @@
   return 1;
 }
 
-/* Copies up to max refused entries that have not expired. */
+/* Copies up to max refused entries that have not expired, newest first. */
 size_t
 eel_quarantine_refused (struct eel_quarantine *quarantine,
                         struct eel_quarantine_entry *out,
@@ -204,7 +204,7 @@
 {
   size_t count = 0;
 
-  for (uint32_t i = 0; i < quarantine->count && count < max; i++)
+  for (uint32_t i = quarantine->count; i-- > 0 && count < max;)
     if (quarantine->entries[i].state == EEL_QUARANTINE_REFUSED
         && now_us < quarantine->entries[i].expires_us)
       out[count++] = quarantine->entries[i];
