--- a/src/node/idempotent.c
+++ b/src/node/idempotent.c
@@ -193,8 +193,7 @@
   if (eel_quarantine_merge (&node->quarantine, request->call->fingerprint,
                             node->quarantine.life_us, node->now_us))
     node_gossip_spread (node);
-  eel_answer_free (answer);
-  node_request_fail (node, request, EEL_ERROR_QUARANTINED);
+  node_request_answer (node, request, answer);
 }
 
 /*
