Count peers whose handshake fails before their key is read

Cause: tests/run/test_keys.sh found that a node with foreign keys was refused but not counted: without the server's key a client never reaches the ZAP handler. Change: a monitor of the ROUTER socket counts failed handshakes. Its descriptor stays silent until the events were read once, so they are read at the start.

--- a/src/peer/auth.c
+++ b/src/peer/auth.c
@@ -118,6 +118,58 @@
   peers_auth_drain (data);
 }
 
+/*
+ * Counts handshakes that failed before a key could be read: a client that
+ * does not know the server's key never reaches the ZAP handler.
+ */
+static void
+monitor_drain (struct eel_peers *peers)
+{
+  while (peers_readable (peers->monitor))
+    {
+      struct zap_request event;
+
+      if (!read_request (peers->monitor, &event))
+        return;
+      eel_metric_add (peers->unauthenticated, 1);
+    }
+}
+
+static void
+monitor_wake (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  monitor_drain (data);
+}
+
+/* Watches failed handshakes of the ROUTER socket. */
+int
+peers_monitor_open (struct eel_peers *peers)
+{
+  static const char address[] = "inproc://router-monitor";
+  int fd = -1;
+  size_t fd_bytes = sizeof fd;
+
+  if (zmq_socket_monitor (peers->router, address,
+                          ZMQ_EVENT_HANDSHAKE_FAILED_PROTOCOL
+                              | ZMQ_EVENT_HANDSHAKE_FAILED_NO_DETAIL)
+      != 0)
+    return 0;
+  peers->monitor = zmq_socket (peers->context, ZMQ_PAIR);
+  if (peers->monitor == NULL || zmq_connect (peers->monitor, address) != 0
+      || zmq_getsockopt (peers->monitor, ZMQ_FD, &fd, &fd_bytes) != 0)
+    return 0;
+  peers->monitor_readable
+      = event_new (peers->base, fd, EV_READ | EV_PERSIST, monitor_wake, peers);
+  if (peers->monitor_readable == NULL
+      || event_add (peers->monitor_readable, NULL) != 0)
+    return 0;
+  /* The descriptor signals only after the events were read once. */
+  monitor_drain (peers);
+  return 1;
+}
+
 /* Binds the handler; it must exist before the first CURVE server socket. */
 int
 peers_auth_open (struct eel_peers *peers)
--- a/src/peer/peers.c
+++ b/src/peer/peers.c
@@ -140,7 +140,7 @@
                             "Messages that the decoder refused.");
   peers->unauthenticated
       = counter (metrics, "eel_peer_unauthenticated_total",
-                 "Peer connections refused for an unknown key.");
+                 "Peer handshakes refused for an unknown key.");
 }
 
 /* Opens the sockets; returns NULL after logging why. */
@@ -162,7 +162,8 @@
   if (peers->context != NULL
       && eel_mailbox_init (&peers->inbox, base, EEL_MAILBOX_CAPACITY,
                            peers_handle, peers)
-      && peers_auth_open (peers) && router_open (peers) && timer_open (peers))
+      && peers_auth_open (peers) && router_open (peers)
+      && peers_monitor_open (peers) && timer_open (peers))
     return peers;
   g_critical ("peer socket %s:%u: %s", settings->peer.host, settings->peer.port,
               zmq_strerror (zmq_errno ()));
@@ -209,8 +210,11 @@
   free_event (peers->timer);
   free_event (peers->router_readable);
   free_event (peers->auth_readable);
+  free_event (peers->monitor_readable);
   if (peers->router != NULL)
     zmq_close (peers->router);
+  if (peers->monitor != NULL)
+    zmq_close (peers->monitor);
   if (peers->auth != NULL)
     zmq_close (peers->auth);
   if (peers->context != NULL)
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -47,8 +47,10 @@
   void *context;
   void *router;
   void *auth;
+  void *monitor;
   struct event *router_readable;
   struct event *auth_readable;
+  struct event *monitor_readable;
   struct event *timer;
   uint16_t port;
   struct peer_link links[PEER_LINKS_MAX];
@@ -69,6 +71,7 @@
 /* auth.c: ZAP handler (RFC 27) that accepts the keys of the settings. */
 int peers_auth_open (struct eel_peers *peers);
 void peers_auth_drain (struct eel_peers *peers);
+int peers_monitor_open (struct eel_peers *peers);
 
 /* link.c */
 void
