--- a/src/admission/limit.c
+++ b/src/admission/limit.c
@@ -5,6 +5,12 @@
 /* A window ends after both.  At 10 slots and 200 ms, 100 samples of a probe
  * cost a fifth of the slots for more than 2 s. */
 #define WINDOW_SAMPLES 60
+/*
+ * Few slots of a slow upstream take long to give 60 samples, and a probe idles
+ * slots meanwhile: three rounds of the limit are enough, but at least 20.
+ */
+#define WINDOW_ROUNDS 3
+#define WINDOW_SAMPLES_MIN 20
 #define WINDOW_US (100 * EEL_US_PER_MS)
 /* Latency above this multiple of the long-term one starts a probe. */
 #define TOLERANCE 1.5
@@ -142,6 +148,16 @@
   start_window (admission, now_us);
 }
 
+static uint32_t
+window_samples (const struct eel_admission *admission)
+{
+  double samples = admission->limit * WINDOW_ROUNDS;
+
+  if (samples < WINDOW_SAMPLES_MIN)
+    return WINDOW_SAMPLES_MIN;
+  return samples < WINDOW_SAMPLES ? (uint32_t)samples : WINDOW_SAMPLES;
+}
+
 /*
  * Takes the end of a piece of work into account; in_flight no longer counts
  * it.  Long work is left out: its mix would look like a change of latency.
@@ -162,7 +178,7 @@
     return;
   admission->window_log_sum += log ((double)(now_us - work->started_us) + 1);
   admission->window_samples++;
-  if (admission->window_samples >= WINDOW_SAMPLES
+  if (admission->window_samples >= window_samples (admission)
       && now_us - admission->window_started_us >= WINDOW_US)
     finish_window (admission, now_us);
 }
