Do not let a later SIGTERM end a node that is finishing its stop

Freeing the signal's event brought the default action back while the sockets still sent their last answers. Change: the stop signals are blocked before anything is freed; the test sends SIGTERM without pause until the process is gone.

--- a/daemon/tasks.c
+++ b/daemon/tasks.c
@@ -155,10 +155,27 @@
   event_base_dispatch (tasks->base);
 }
 
+/*
+ * Freeing a signal's event brings its default action back, and a second
+ * SIGTERM would end the process while its last answers leave.  ZeroMQ's own
+ * threads block all signals.
+ */
+static void
+block_stop_signals (void)
+{
+  sigset_t signals;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigprocmask (SIG_BLOCK, &signals, NULL);
+}
+
 /* Frees everything in reverse order. */
 void
 daemon_tasks_finish (struct daemon_tasks *tasks)
 {
+  block_stop_signals ();
   if (tasks->terminate != NULL)
     event_free (tasks->terminate);
   if (tasks->interrupt != NULL)
--- a/tests/run/test_drain.sh
+++ b/tests/run/test_drain.sh
@@ -22,8 +22,11 @@
 sleep 2
 pid=$(fleet_pid node1)
 kill -TERM "$pid"
-sleep 0.2
-kill -TERM "$pid" 2>/dev/null || true
+# Later signals must not end the process either, at any moment of its stop.
+n=0
+while kill -TERM "$pid" 2>/dev/null && [ $n -lt 200000 ]; do
+	n=$((n + 1))
+done
 code=0
 wait "$pid" || code=$?
 [ $code -eq 0 ] || { echo "exit code $code after SIGTERM"; exit 1; }
