--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 CXX ?= g++
 LIBS := libevent evhtp libzmq glib-2.0 json-glib-1.0 libsodium libxxhash libzstd libprotobuf-c
 PKG_CFLAGS := $(shell pkg-config --cflags $(LIBS) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lpthread
+PKG_LIBS := $(shell pkg-config --libs $(LIBS) 2>/dev/null) -lhttp_parser -lpthread -lm
 
 WARN := -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Wpointer-arith -Wformat=2 -Werror
@@ -37,12 +37,15 @@
 LIB_DIRS := base error toml execution retry admission routing membership preset \
 	caller wire metrics audit
 APP_DIRS := task settings http peer platform admin node
+RELAY_DIRS := relay
 
 find_src = $(sort $(wildcard $(foreach d,$(1),src/$(d)/*.c src/$(d)/*.cc)))
 obj = $(patsubst %,$(BUILD)/%.o,$(1))
 
 LIB_SRC := $(call find_src,$(LIB_DIRS))
 APP_SRC := $(call find_src,$(APP_DIRS))
+RELAY_SRC := $(call find_src,$(RELAY_DIRS))
+PLATFORM_SRC := $(wildcard platform/*.c)
 DAEMON_SRC := $(wildcard daemon/*.c)
 CTL_SRC := $(wildcard ctl/*.c)
 UNIT_SRC := $(wildcard tests/unit/*.cc)
@@ -54,7 +57,12 @@
 LIB_A := $(BUILD)/libeelgrasslatch.a
 LIB_SO := $(BUILD)/libeelgrasslatch.so
 APP_A := $(BUILD)/libapp.a
-PROGRAMS := $(if $(DAEMON_SRC),$(BUILD)/eelgrasslatchd) \
+RELAY_A := $(BUILD)/librelay.a
+PLATFORMD := $(BUILD)/eelgrasslatch-platformd
+# The daemon of the platform links no ZeroMQ and no evhtp, for a quick start.
+PLATFORM_LIBS := $(shell pkg-config --libs libevent glib-2.0 json-glib-1.0 \
+	libsodium libxxhash libzstd libprotobuf-c 2>/dev/null) -lhttp_parser -lm
+PROGRAMS := $(PLATFORMD) $(if $(DAEMON_SRC),$(BUILD)/eelgrasslatchd) \
 	$(if $(CTL_SRC),$(BUILD)/eelgrasslatchctl)
 STANDINS := $(patsubst tests/standin/%.c,$(BUILD)/standin_%,\
 	$(filter-out %_common.c,$(STANDIN_SRC)))
@@ -97,6 +105,17 @@
 	@rm -f $@
 	@$(AR) rcs $@ $^
 
+$(RELAY_A): $(call obj,$(RELAY_SRC) src/task/clock.c)
+	@rm -f $@
+	@$(AR) rcs $@ $^
+
+$(PLATFORMD): $(call obj,$(PLATFORM_SRC)) $(RELAY_A) $(LIB_A)
+	@echo LD $@
+	@$(CXX) $(LDFLAGS) -Wl,--as-needed -o $@ $(filter %.o,$^) $(RELAY_A) \
+		$(LIB_A) $(PLATFORM_LIBS)
+
+platform: $(PLATFORMD)
+
 link = $(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
 	$(LIB_A) $(PKG_LIBS)
 
@@ -192,7 +211,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all deps check fuzz demo bench capacity format format-check lint \
+.PHONY: all platform deps check fuzz demo bench capacity format format-check lint \
 	install clean
 .SECONDARY:
 
--- /dev/null
+++ b/include/eelgrasslatch/directory.h
@@ -0,0 +1,90 @@
+#ifndef EELGRASSLATCH_DIRECTORY_H
+#define EELGRASSLATCH_DIRECTORY_H
+
+#include <stdint.h>
+
+#include "eelgrasslatch/types.h"
+
+/*
+ * The endpoints that a registry lists, by revision.  A later revision of an
+ * id always wins, whoever told it.  What the registry drops while it is
+ * unstable is kept for a moment, since it comes back when the endpoint lives.
+ */
+
+#define EEL_INSTANCE_ID_MAX 80
+/* An entry that lapsed while the registry was away is back within 2 s. */
+#define EEL_LAPSE_US (1800 * EEL_US_PER_MS)
+
+enum eel_instance_state
+{
+  EEL_INSTANCE_READY,
+  EEL_INSTANCE_DRAINING,
+  /* Dropped by an unstable registry; used until its time is over. */
+  EEL_INSTANCE_LAPSED,
+  EEL_INSTANCE_GONE
+};
+
+struct eel_instance
+{
+  char id[EEL_INSTANCE_ID_MAX];
+  uint16_t service;
+  enum eel_instance_state state;
+  uint64_t revision;
+  /* IPv4 in network order; port in host order. */
+  uint32_t ip;
+  uint16_t port;
+  uint32_t slots;
+  uint8_t same_domain;
+  int64_t cold_until_us;
+  int64_t added_us;
+  int64_t lapsed_us;
+  uint8_t listed;
+
+  /* This sender's view, kept by the place module. */
+  uint32_t in_flight;
+  /* As its node reported with the last answer, in thousandths of its limit. */
+  uint32_t use_milli;
+  int64_t use_at_us;
+  /* Avoided until then; grows with failures in a row. */
+  int64_t avoid_until_us;
+  uint32_t failures;
+};
+
+struct eel_directory
+{
+  struct eel_instance *instances;
+  uint32_t capacity;
+  uint32_t count;
+  /* The registry answers, and since when. */
+  uint8_t stable;
+  int64_t stable_since_us;
+  uint64_t full;
+};
+
+void eel_directory_init (struct eel_directory *directory,
+                         struct eel_instance *instances,
+                         uint32_t capacity);
+/* Returns 1 when the entry is newer than what was known. */
+int eel_directory_put (struct eel_directory *directory,
+                       const struct eel_instance *instance,
+                       int64_t now_us);
+/* Returns 1 when the removal is newer than what was known. */
+int eel_directory_remove (struct eel_directory *directory,
+                          const char *id,
+                          uint64_t revision,
+                          int64_t now_us);
+/* The registry failed or answers again. */
+void eel_directory_stable (struct eel_directory *directory,
+                           int stable,
+                           int64_t now_us);
+/* Ends the time of lapsed entries. */
+void eel_directory_tick (struct eel_directory *directory, int64_t now_us);
+struct eel_instance *eel_directory_find (struct eel_directory *directory,
+                                         const char *id);
+/* An endpoint at that address, for the node beside it; NULL: not listed. */
+struct eel_instance *eel_directory_at (struct eel_directory *directory,
+                                       uint32_t ip,
+                                       uint16_t service);
+int eel_instance_usable (const struct eel_instance *instance);
+
+#endif
--- /dev/null
+++ b/include/eelgrasslatch/place.h
@@ -0,0 +1,43 @@
+#ifndef EELGRASSLATCH_PLACE_H
+#define EELGRASSLATCH_PLACE_H
+
+#include <stdint.h>
+
+#include "eelgrasslatch/directory.h"
+#include "eelgrasslatch/rng.h"
+
+/*
+ * Choice of an endpoint for one request among those that a directory lists.
+ *
+ * Answers the load in which own failure domain has room most of the time and
+ * bytes to other domains are dear: the own domain's endpoint is used until it
+ * is nearly full, then the least used of all.
+ */
+
+/* Use of the limit, in thousandths, above which requests leave the domain. */
+#define EEL_PLACE_SPILL_MILLI 900
+
+struct eel_place_query
+{
+  uint16_t service;
+  /* Endpoints that this request has tried. */
+  const char *const *tried;
+  uint32_t tried_count;
+};
+
+/* Returns the endpoint to try next, or NULL when none is left. */
+struct eel_instance *eel_place_pick (struct eel_directory *directory,
+                                     const struct eel_place_query *query,
+                                     int64_t now_us,
+                                     struct eel_rng *rng);
+void eel_place_sent (struct eel_instance *instance);
+/* An answer arrived, with the use that the endpoint's node reported. */
+void eel_place_answered (struct eel_instance *instance,
+                         uint32_t use_milli,
+                         int64_t now_us);
+/* The node or its endpoint couldn't be reached, or broke off. */
+void eel_place_failed (struct eel_instance *instance, int64_t now_us);
+/* Ends a request that was counted by sent. */
+void eel_place_done (struct eel_instance *instance);
+
+#endif
--- /dev/null
+++ b/include/eelgrasslatch/route_table.h
@@ -0,0 +1,77 @@
+#ifndef EELGRASSLATCH_ROUTE_TABLE_H
+#define EELGRASSLATCH_ROUTE_TABLE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "eelgrasslatch/rng.h"
+
+/*
+ * Routes of one configuration version: host and longest prefix select a
+ * route, weights select one of its services.  Services are small numbers that
+ * an eel_service_names table gives out and never takes back.
+ */
+
+#define EEL_SERVICE_NAMES_MAX 512
+#define EEL_ROUTE_PARTS_MAX 8
+#define EEL_NO_SERVICE UINT16_MAX
+
+struct eel_service_names
+{
+  char *names[EEL_SERVICE_NAMES_MAX];
+  uint16_t count;
+};
+
+void eel_service_names_init (struct eel_service_names *names);
+void eel_service_names_finish (struct eel_service_names *names);
+/* Returns the number of a name, adding it; EEL_NO_SERVICE when full. */
+uint16_t eel_service_number (struct eel_service_names *names, const char *name);
+
+struct eel_route_part
+{
+  uint16_t service;
+  uint32_t weight;
+  /* Smooth weighted round robin: what the part is owed. */
+  int64_t owed;
+};
+
+struct eel_route
+{
+  char *host;
+  char *prefix;
+  uint32_t prefix_bytes;
+  /* Stable across versions, for counters: hash of host and prefix. */
+  uint64_t id;
+  uint8_t idempotent;
+  uint8_t attempts;
+  /* 0 is the most important. */
+  uint8_t rank;
+  int64_t timeout_us;
+  int64_t target_us;
+  struct eel_route_part parts[EEL_ROUTE_PARTS_MAX];
+  uint8_t part_count;
+};
+
+struct eel_route_table
+{
+  struct eel_route *routes;
+  uint32_t count;
+  uint32_t capacity;
+  uint64_t version;
+};
+
+void eel_route_table_init (struct eel_route_table *table, uint64_t version);
+void eel_route_table_finish (struct eel_route_table *table);
+/* Copies host and prefix of route; 0 when a field is out of range. */
+int eel_route_table_add (struct eel_route_table *table,
+                         const struct eel_route *route);
+/* Sorts after the last add; split counters start at a random point. */
+void eel_route_table_seal (struct eel_route_table *table, struct eel_rng *rng);
+/* host may carry a port; target may carry a query.  NULL: no route. */
+struct eel_route *eel_route_table_find (struct eel_route_table *table,
+                                        const char *host,
+                                        const char *target);
+/* Returns the service that the next request of the route goes to. */
+uint16_t eel_route_split (struct eel_route *route);
+
+#endif
--- /dev/null
+++ b/src/membership/directory.c
@@ -0,0 +1,163 @@
+#include "eelgrasslatch/directory.h"
+
+#include <string.h>
+
+/* Prepares an empty directory over the caller's array. */
+void
+eel_directory_init (struct eel_directory *directory,
+                    struct eel_instance *instances,
+                    uint32_t capacity)
+{
+  *directory = (struct eel_directory){ .instances = instances,
+                                       .capacity = capacity };
+}
+
+/* Returns the entry of an id, also when it is gone; NULL: never seen. */
+struct eel_instance *
+eel_directory_find (struct eel_directory *directory, const char *id)
+{
+  for (uint32_t i = 0; i < directory->count; i++)
+    if (strcmp (directory->instances[i].id, id) == 0)
+      return &directory->instances[i];
+  return NULL;
+}
+
+/* Returns the newest usable or draining endpoint of a service on a VM. */
+struct eel_instance *
+eel_directory_at (struct eel_directory *directory,
+                  uint32_t ip,
+                  uint16_t service)
+{
+  struct eel_instance *found = NULL;
+
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      struct eel_instance *instance = &directory->instances[i];
+
+      if (instance->ip == ip && instance->service == service
+          && (found == NULL || instance->revision > found->revision))
+        found = instance;
+    }
+  return found;
+}
+
+/* True for endpoints that may get requests. */
+int
+eel_instance_usable (const struct eel_instance *instance)
+{
+  return instance->state == EEL_INSTANCE_READY
+         || instance->state == EEL_INSTANCE_LAPSED;
+}
+
+/* Returns room for a new id: a free place, or that of the oldest gone one. */
+static struct eel_instance *
+make_room (struct eel_directory *directory)
+{
+  struct eel_instance *oldest = NULL;
+
+  if (directory->count < directory->capacity)
+    return &directory->instances[directory->count++];
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      struct eel_instance *instance = &directory->instances[i];
+
+      if (instance->state == EEL_INSTANCE_GONE && instance->in_flight == 0
+          && (oldest == NULL || instance->revision < oldest->revision))
+        oldest = instance;
+    }
+  if (oldest == NULL)
+    directory->full++;
+  return oldest;
+}
+
+/* Adds or updates an entry; the sender's view of a known one is kept. */
+int
+eel_directory_put (struct eel_directory *directory,
+                   const struct eel_instance *instance,
+                   int64_t now_us)
+{
+  struct eel_instance *known = eel_directory_find (directory, instance->id);
+
+  if (known != NULL && known->revision >= instance->revision)
+    return 0;
+  if (known == NULL)
+    {
+      known = make_room (directory);
+      if (known == NULL)
+        return 0;
+      *known = *instance;
+      known->added_us = now_us;
+      known->in_flight = 0;
+      return 1;
+    }
+  known->service = instance->service;
+  known->state = instance->state;
+  known->revision = instance->revision;
+  known->ip = instance->ip;
+  known->port = instance->port;
+  known->slots = instance->slots;
+  known->same_domain = instance->same_domain;
+  known->cold_until_us = instance->cold_until_us;
+  return 1;
+}
+
+/* True while entries may be missing although their endpoints live. */
+static int
+may_lapse (const struct eel_directory *directory, int64_t now_us)
+{
+  return !directory->stable
+         || now_us - directory->stable_since_us < EEL_LAPSE_US;
+}
+
+/* Drops an entry; an unstable registry's word is held for a moment. */
+int
+eel_directory_remove (struct eel_directory *directory,
+                      const char *id,
+                      uint64_t revision,
+                      int64_t now_us)
+{
+  struct eel_instance *known = eel_directory_find (directory, id);
+
+  if (known == NULL || known->revision >= revision
+      || known->state == EEL_INSTANCE_GONE)
+    return 0;
+  known->revision = revision;
+  if (known->state == EEL_INSTANCE_READY && may_lapse (directory, now_us))
+    {
+      known->state = EEL_INSTANCE_LAPSED;
+      known->lapsed_us = now_us;
+    }
+  else if (known->state != EEL_INSTANCE_LAPSED)
+    known->state = EEL_INSTANCE_GONE;
+  return 1;
+}
+
+/* Notes whether the registry answers. */
+void
+eel_directory_stable (struct eel_directory *directory,
+                      int stable,
+                      int64_t now_us)
+{
+  if (stable && !directory->stable)
+    directory->stable_since_us = now_us;
+  directory->stable = (uint8_t)(stable != 0);
+}
+
+/* Counts the time of lapsed entries from the registry's return. */
+void
+eel_directory_tick (struct eel_directory *directory, int64_t now_us)
+{
+  if (!directory->stable)
+    return;
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      struct eel_instance *instance = &directory->instances[i];
+      int64_t since_us = instance->lapsed_us > directory->stable_since_us
+                             ? instance->lapsed_us
+                             : directory->stable_since_us;
+
+      if (instance->state == EEL_INSTANCE_LAPSED
+          && now_us - since_us >= EEL_LAPSE_US)
+        instance->state = EEL_INSTANCE_GONE;
+    }
+}
--- /dev/null
+++ b/src/membership/published.c
@@ -0,0 +1,132 @@
+#include "eelgrasslatch/published.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Prepares an empty table over the caller's array. */
+void
+eel_published_init (struct eel_published *published,
+                    struct eel_published_item *items,
+                    uint32_t capacity)
+{
+  *published
+      = (struct eel_published){ .items = items, .capacity = capacity };
+}
+
+/* Frees the copies. */
+void
+eel_published_finish (struct eel_published *published)
+{
+  for (uint32_t i = 0; i < published->count; i++)
+    free (published->items[i].data);
+  published->count = 0;
+}
+
+/* Returns the item of a key, or NULL. */
+struct eel_published_item *
+eel_published_find (const struct eel_published *published, const char *key)
+{
+  for (uint32_t i = 0; i < published->count; i++)
+    if (strcmp (published->items[i].key, key) == 0)
+      return &published->items[i];
+  return NULL;
+}
+
+/* Returns a free place, or that of the removed item with the least revision. */
+static struct eel_published_item *
+make_room (struct eel_published *published)
+{
+  struct eel_published_item *oldest = NULL;
+
+  if (published->count < published->capacity)
+    {
+      oldest = &published->items[published->count++];
+      memset (oldest, 0, sizeof *oldest);
+      return oldest;
+    }
+  for (uint32_t i = 0; i < published->count; i++)
+    if (published->items[i].data == NULL
+        && (oldest == NULL || published->items[i].revision < oldest->revision))
+      oldest = &published->items[i];
+  if (oldest == NULL)
+    published->refused++;
+  return oldest;
+}
+
+/* Stores an item that is newer than what is known. */
+struct eel_published_item *
+eel_published_put (struct eel_published *published,
+                   const char *key,
+                   uint64_t revision,
+                   const void *data,
+                   size_t bytes)
+{
+  struct eel_published_item *item = eel_published_find (published, key);
+  uint8_t *copy = NULL;
+
+  if (item != NULL)
+    item->listed = 1;
+  if (strlen (key) >= EEL_PUBLISHED_KEY_MAX
+      || (item != NULL && item->revision >= revision))
+    return NULL;
+  if (data != NULL)
+    {
+      copy = malloc (bytes + 1);
+      if (copy == NULL)
+        return NULL;
+      memcpy (copy, data, bytes);
+      copy[bytes] = 0;
+    }
+  if (item == NULL)
+    item = make_room (published);
+  if (item == NULL)
+    {
+      free (copy);
+      return NULL;
+    }
+  free (item->data);
+  memcpy (item->key, key, strlen (key) + 1);
+  item->revision = revision;
+  item->data = copy;
+  item->bytes = bytes;
+  item->listed = 1;
+  if (revision > published->newest)
+    published->newest = revision;
+  return item;
+}
+
+static int
+has_prefix (const struct eel_published_item *item, const char *prefix)
+{
+  return strncmp (item->key, prefix, strlen (prefix)) == 0;
+}
+
+/* Unmarks the items of a prefix. */
+void
+eel_published_begin_listing (struct eel_published *published,
+                             const char *prefix)
+{
+  for (uint32_t i = 0; i < published->count; i++)
+    if (has_prefix (&published->items[i], prefix))
+      published->items[i].listed = 0;
+}
+
+/* Returns an item that the listing lacks, once. */
+struct eel_published_item *
+eel_published_next_missing (struct eel_published *published,
+                            const char *prefix,
+                            uint64_t revision)
+{
+  for (uint32_t i = 0; i < published->count; i++)
+    {
+      struct eel_published_item *item = &published->items[i];
+
+      if (!item->listed && item->data != NULL && item->revision < revision
+          && has_prefix (item, prefix))
+        {
+          item->listed = 1;
+          return item;
+        }
+    }
+  return NULL;
+}
--- /dev/null
+++ b/src/relay/attempt_remote.c
@@ -0,0 +1,148 @@
+#include <event2/buffer.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eelgrasslatch/place.h"
+#include "internal/task.h"
+#include "relay/attempt.h"
+#include "relay/relay.h"
+
+/* A kept link that was idle for longer may be closing at the other end. */
+#define FRESH_US (8 * EEL_US_PER_S)
+/* A gate refusal says that the endpoint is full. */
+#define FULL_MILLI 1000
+
+static void
+instance_done (struct eel_attempt *attempt)
+{
+  if (attempt->running)
+    eel_place_done (attempt->instance);
+  attempt->running = 0;
+}
+
+static void
+note_load (struct eel_attempt *attempt, const struct eel_head *head)
+{
+  struct eel_relay *relay = attempt->relay;
+  const char *load = eel_head_get (head, EEL_RELAY_LOAD);
+  uint64_t revision;
+  char *rest;
+
+  if (load == NULL)
+    return;
+  eel_place_answered (attempt->instance, (uint32_t)strtoul (load, &rest, 10),
+                      eel_clock_us ());
+  revision = strtoull (rest, NULL, 10);
+  if (revision > relay->peer_revision)
+    relay->peer_revision = revision;
+}
+
+static int
+on_head (void *owner, struct eel_head *head)
+{
+  struct eel_attempt *attempt = owner;
+  const char *refused = eel_head_get (head, EEL_RELAY_REFUSED);
+
+  note_load (attempt, head);
+  attempt->is_refusal = (uint8_t)(refused != NULL);
+  if (refused != NULL)
+    attempt->refusal = eel_attempt_failure_parse (refused);
+  else
+    attempt->ops->head (attempt->owner, head);
+  return 1;
+}
+
+static void
+on_body (void *owner, const char *data, size_t bytes)
+{
+  struct eel_attempt *attempt = owner;
+
+  if (!attempt->is_refusal)
+    attempt->ops->body (attempt->owner, data, bytes);
+}
+
+static void
+on_end (void *owner)
+{
+  struct eel_attempt *attempt = owner;
+
+  attempt->link = NULL;
+  attempt->answer_done = 1;
+  instance_done (attempt);
+  if (!attempt->is_refusal)
+    {
+      attempt->ops->end (attempt->owner);
+      return;
+    }
+  if (attempt->refusal == EEL_FAILURE_LEAVING
+      || attempt->refusal == EEL_FAILURE_UNREACHABLE)
+    eel_place_failed (attempt->instance, eel_clock_us ());
+  attempt->ops->fail (attempt->owner, attempt->refusal, "refused by its node");
+}
+
+static void
+on_fail (void *owner, int sent, const char *reason)
+{
+  struct eel_attempt *attempt = owner;
+
+  attempt->link = NULL;
+  attempt->answer_done = 1;
+  instance_done (attempt);
+  eel_place_failed (attempt->instance, eel_clock_us ());
+  attempt->ops->fail (attempt->owner,
+                      sent ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
+                      reason);
+}
+
+static void
+on_drained (void *owner)
+{
+  struct eel_attempt *attempt = owner;
+
+  attempt->ops->drained (attempt->owner);
+}
+
+static const struct eel_link_ops link_ops = { .head = on_head,
+                                              .body = on_body,
+                                              .end = on_end,
+                                              .fail = on_fail,
+                                              .drained = on_drained };
+
+static void
+remote_start (struct eel_attempt *attempt)
+{
+  struct eel_pool *pool
+      = eel_relay_pool (attempt->relay, attempt->instance->ip);
+  struct evbuffer *head = evbuffer_new ();
+
+  if (head != NULL && pool != NULL)
+    {
+      eel_attempt_write_head (attempt, head, 1);
+      attempt->link = eel_pool_send (
+          pool, &link_ops, attempt, head,
+          strcmp (attempt->work.request->method, "HEAD") == 0, FRESH_US);
+    }
+  if (head != NULL)
+    evbuffer_free (head);
+  if (attempt->link == NULL)
+    {
+      attempt->answer_done = 1;
+      attempt->ops->fail (attempt->owner, EEL_FAILURE_UNREACHABLE, "no socket");
+      return;
+    }
+  attempt->running = 1;
+  eel_place_sent (attempt->instance);
+  eel_attempt_send_pending (attempt);
+}
+
+static void
+remote_cancel (struct eel_attempt *attempt)
+{
+  if (attempt->link != NULL)
+    eel_link_cancel (attempt->link);
+  attempt->link = NULL;
+  instance_done (attempt);
+}
+
+const struct eel_attempt_kind eel_attempt_remote
+    = { .start = remote_start, .cancel = remote_cancel };
--- /dev/null
+++ b/src/relay/conn.c
@@ -0,0 +1,340 @@
+#include "relay/conn.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "eelgrasslatch/types.h"
+#include "internal/task.h"
+#include "relay/socket.h"
+
+/* Requests of one connection that are worked on at once. */
+#define PIPELINE_MAX 16
+#define READ_BYTES_MAX 65536
+/* A caller that has vanished is noticed after this. */
+#define CALLER_SILENCE_MS 4000
+
+static void
+conn_free (struct eel_conn *conn)
+{
+  bufferevent_free (conn->bev);
+  eel_reader_finish (&conn->reader);
+  free (conn);
+}
+
+/* Reports that the peer has gone to the exchanges without an answer. */
+static void
+release_exchanges (struct eel_conn *conn)
+{
+  while (conn->first != NULL)
+    {
+      struct eel_exchange *exchange = conn->first;
+
+      conn->first = exchange->next;
+      if (exchange->state != NULL)
+        conn->server->ops->gone (exchange);
+      eel_exchange_free (exchange);
+    }
+  conn->last = NULL;
+  conn->reading = NULL;
+  conn->count = 0;
+}
+
+/* Closes at once; the struct lives on while its reader is running. */
+void
+eel_conn_close (struct eel_conn *conn)
+{
+  struct eel_server *server = conn->server;
+
+  if (conn->dead)
+    return;
+  conn->dead = 1;
+  conn->reader.stopped = 1;
+  release_exchanges (conn);
+  if (conn->previous != NULL)
+    conn->previous->next = conn->next;
+  else
+    server->conns = conn->next;
+  if (conn->next != NULL)
+    conn->next->previous = conn->previous;
+  server->conn_count--;
+  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
+  if (!conn->feeding)
+    conn_free (conn);
+}
+
+/* Takes a finished exchange off the front. */
+static void
+pop_first (struct eel_conn *conn)
+{
+  struct eel_exchange *exchange = conn->first;
+
+  conn->first = exchange->next;
+  if (conn->first == NULL)
+    conn->last = NULL;
+  if (conn->reading == exchange)
+    conn->reading = NULL;
+  conn->count--;
+  conn->since_us = eel_clock_us ();
+  eel_exchange_free (exchange);
+}
+
+/*
+ * Moves ready answers to the connection, in order.  An exchange leaves when
+ * its answer and its request are complete; a closing answer ends reading.
+ */
+void
+eel_conn_flush (struct eel_conn *conn)
+{
+  if (conn->dead)
+    return;
+  while (conn->first != NULL && !conn->closing)
+    {
+      struct eel_exchange *exchange = conn->first;
+
+      if (evbuffer_get_length (exchange->out) > 0)
+        evbuffer_add_buffer (bufferevent_get_output (conn->bev), exchange->out);
+      if (!exchange->answer_done)
+        return;
+      /* The rest of the request is read, so that closing resets nothing. */
+      if (!exchange->request_done && !conn->deaf)
+        return;
+      conn->closing = exchange->close_after;
+      pop_first (conn);
+    }
+  if (conn->closing)
+    {
+      conn->deaf = 1;
+      release_exchanges (conn);
+    }
+  if (!conn->feeding)
+    eel_conn_feed (conn);
+}
+
+static void
+refuse (struct eel_conn *conn, enum eel_error error)
+{
+  const struct eel_error_info *info = eel_error_info (error);
+  struct eel_exchange *exchange = conn->reading;
+
+  conn->deaf = 1;
+  if (exchange != NULL && (exchange->answer_started || exchange->state != NULL))
+    {
+      eel_conn_close (conn);
+      return;
+    }
+  if (exchange == NULL)
+    exchange = eel_exchange_new (conn, &conn->reader.head);
+  if (exchange == NULL)
+    {
+      eel_conn_close (conn);
+      return;
+    }
+  exchange->close_after = 1;
+  exchange->request_done = 1;
+  eel_exchange_answer (exchange, info->http_status, NULL, EEL_FRAMING_LENGTH,
+                       0);
+  eel_exchange_end (exchange);
+}
+
+static void
+body_too_large (struct eel_conn *conn)
+{
+  conn->reader.stopped = 1;
+  conn->reader.error = EEL_ERROR_BODY_TOO_LARGE;
+}
+
+/* One Host field with a value, as RFC 9112 section 3.2 requires. */
+static int
+host_is_valid (const struct eel_head *head)
+{
+  uint32_t hosts = 0;
+
+  for (uint32_t i = 0; i < head->count; i++)
+    if (strcasecmp (head->text + head->fields[i].name, "host") == 0)
+      hosts += head->text[head->fields[i].value] != 0 ? 1 : 2;
+  return hosts == 1;
+}
+
+static int
+request_head (void *owner, struct eel_head *head)
+{
+  struct eel_conn *conn = owner;
+  int expects = eel_head_get (head, "expect") != NULL;
+
+  if (!host_is_valid (head))
+    {
+      conn->reader.stopped = 1;
+      conn->reader.error = EEL_ERROR_BAD_REQUEST;
+      return 0;
+    }
+  if (head->framing == EEL_FRAMING_LENGTH
+      && head->length_bytes > conn->server->limits.max_body_bytes)
+    {
+      body_too_large (conn);
+      return 0;
+    }
+  conn->reading = eel_exchange_new (conn, head);
+  if (conn->reading == NULL)
+    {
+      conn->reader.stopped = 1;
+      conn->reader.error = EEL_ERROR_INTERNAL;
+      return 0;
+    }
+  if (expects && conn->first == conn->reading)
+    evbuffer_add_printf (conn->reading->out, "HTTP/1.1 100 Continue\r\n\r\n");
+  conn->server->ops->request (conn->reading);
+  return 0;
+}
+
+static void
+request_body (void *owner, const char *data, size_t bytes)
+{
+  struct eel_conn *conn = owner;
+  struct eel_exchange *exchange = conn->reading;
+
+  if (exchange == NULL)
+    return;
+  exchange->body_bytes += bytes;
+  if (exchange->body_bytes > conn->server->limits.max_body_bytes)
+    body_too_large (conn);
+  else if (exchange->state != NULL)
+    conn->server->ops->body (exchange, data, bytes);
+}
+
+static void
+request_end (void *owner)
+{
+  struct eel_conn *conn = owner;
+  struct eel_exchange *exchange = conn->reading;
+
+  eel_reader_next (&conn->reader);
+  conn->reading = NULL;
+  if (exchange == NULL)
+    return;
+  exchange->request_done = 1;
+  if (!exchange->request.keep_alive)
+    conn->deaf = 1;
+  if (exchange->state != NULL)
+    conn->server->ops->body_end (exchange);
+  else
+    eel_conn_flush (conn);
+}
+
+static const struct eel_reader_ops reader_ops
+    = { .head = request_head, .body = request_body, .end = request_end };
+
+/* Takes one piece of input; 0 when reading has to stop. */
+static int
+feed_piece (struct eel_conn *conn)
+{
+  struct evbuffer *input = bufferevent_get_input (conn->bev);
+  struct evbuffer_iovec chunk;
+  long taken;
+
+  if (conn->deaf)
+    {
+      evbuffer_drain (input, evbuffer_get_length (input));
+      return 0;
+    }
+  if (conn->reading == NULL && conn->count >= PIPELINE_MAX)
+    return 0;
+  if (!conn->reader.started)
+    conn->since_us = eel_clock_us ();
+  evbuffer_peek (input, -1, NULL, &chunk, 1);
+  taken = eel_reader_feed (&conn->reader, chunk.iov_base, chunk.iov_len);
+  if (conn->dead)
+    return 0;
+  if (taken < 0)
+    {
+      refuse (conn, conn->reader.error == EEL_OK ? EEL_ERROR_BAD_REQUEST
+                                                 : conn->reader.error);
+      return 0;
+    }
+  evbuffer_drain (input, (size_t)taken);
+  return 1;
+}
+
+/* Reads what has arrived, as far as the bound on open requests allows. */
+void
+eel_conn_feed (struct eel_conn *conn)
+{
+  struct evbuffer *input = bufferevent_get_input (conn->bev);
+
+  if (conn->dead || conn->feeding)
+    return;
+  conn->feeding = 1;
+  while (!conn->dead && evbuffer_get_length (input) > 0)
+    if (!feed_piece (conn))
+      break;
+  conn->feeding = 0;
+  if (conn->dead)
+    conn_free (conn);
+  else if (conn->closing
+           && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
+    eel_conn_close (conn);
+}
+
+static void
+on_read (struct bufferevent *bev, void *data)
+{
+  (void)bev;
+  eel_conn_feed (data);
+}
+
+static void
+on_write (struct bufferevent *bev, void *data)
+{
+  struct eel_conn *conn = data;
+
+  (void)bev;
+  if (conn->closing)
+    eel_conn_close (conn);
+  else if (conn->first != NULL && conn->first->state != NULL)
+    conn->server->ops->drained (conn->first);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  (void)bev;
+  (void)what;
+  eel_conn_close (data);
+}
+
+/* Takes over an accepted socket; NULL without memory, the socket is closed. */
+struct eel_conn *
+eel_conn_open (struct eel_server *server,
+               int fd,
+               const struct sockaddr_in *peer)
+{
+  struct eel_conn *conn = calloc (1, sizeof *conn);
+
+  if (conn != NULL)
+    conn->bev
+        = bufferevent_socket_new (server->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  if (conn == NULL || conn->bev == NULL)
+    {
+      evutil_closesocket (fd);
+      free (conn);
+      return NULL;
+    }
+  eel_socket_set (fd, CALLER_SILENCE_MS);
+  conn->server = server;
+  conn->peer = *peer;
+  conn->since_us = eel_clock_us ();
+  eel_reader_init (&conn->reader, HTTP_REQUEST, &reader_ops, conn,
+                   server->limits.max_head_bytes);
+  conn->next = server->conns;
+  if (conn->next != NULL)
+    conn->next->previous = conn;
+  server->conns = conn;
+  server->conn_count++;
+  bufferevent_setcb (conn->bev, on_read, on_write, on_event, conn);
+  bufferevent_setwatermark (conn->bev, EV_READ, 0, READ_BYTES_MAX);
+  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+  return conn;
+}
--- /dev/null
+++ b/src/relay/entry.c
@@ -0,0 +1,259 @@
+#include "relay/entry.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eelgrasslatch/place.h"
+#include "internal/task.h"
+
+/* A body up to this long can be sent to another endpoint once more. */
+#define REPLAY_BYTES_MAX 65536
+/* The request's body is not read on while this much waits to be sent. */
+#define BODY_PENDING_MAX 262144
+/* When the route's settings are missing. */
+#define FIRST_RETRY_AFTER_US (300 * EEL_US_PER_MS)
+
+/* Frees an entry; what runs is cancelled. */
+void
+eel_entry_free (struct eel_entry *entry)
+{
+  eel_attempt_free (entry->attempt);
+  if (entry->deadline != NULL)
+    event_free (entry->deadline);
+  if (entry->replay != NULL)
+    evbuffer_free (entry->replay);
+  if (entry->lines != NULL)
+    evbuffer_free (entry->lines);
+  if (entry->held != NULL)
+    evbuffer_free (entry->held);
+  entry->exchange->state = NULL;
+  free (entry);
+}
+
+static void
+on_deadline (evutil_socket_t fd, short what, void *data)
+{
+  struct eel_entry *entry = data;
+
+  (void)fd;
+  (void)what;
+  if (!entry->committed)
+    eel_entry_answer_error (entry, entry->may_have_run || entry->arrivals > 0
+                                       ? EEL_ERROR_OUTCOME_UNKNOWN
+                                       : EEL_ERROR_OVERLOADED);
+}
+
+static int
+start_deadline (struct eel_entry *entry)
+{
+  int64_t left_us = entry->work.deadline_us - entry->arrived_us;
+  struct timeval left = { .tv_sec = left_us / EEL_US_PER_S,
+                          .tv_usec = left_us % EEL_US_PER_S };
+
+  entry->deadline
+      = event_new (entry->relay->base, -1, 0, on_deadline, entry);
+  return entry->deadline != NULL && event_add (entry->deadline, &left) == 0;
+}
+
+/* Returns the caller's remaining time, or the route's limit when shorter. */
+static int64_t
+time_limit_us (const struct eel_relay *relay,
+               const struct eel_head *request,
+               const struct eel_route *route)
+{
+  const char *text = eel_head_get (request, relay->config.words->remaining_ms);
+  char *end = NULL;
+  int64_t limit_us;
+
+  if (text == NULL)
+    return route->timeout_us;
+  limit_us = strtoll (text, &end, 10) * EEL_US_PER_MS;
+  if (end == text || limit_us < 0)
+    return route->timeout_us;
+  return limit_us < route->timeout_us ? limit_us : route->timeout_us;
+}
+
+static struct eel_entry *
+entry_new (struct eel_exchange *exchange, struct eel_route *route)
+{
+  struct eel_relay *relay = eel_exchange_server (exchange)->owner;
+  struct eel_entry *entry = calloc (1, sizeof *entry);
+  int64_t now_us = eel_clock_us ();
+
+  if (entry == NULL)
+    return NULL;
+  entry->relay = relay;
+  entry->exchange = exchange;
+  entry->arrived_us = now_us;
+  entry->attempts_max = route->attempts;
+  entry->replay = evbuffer_new ();
+  entry->work = (struct eel_work){
+    .request = &exchange->request,
+    .request_id
+    = eel_head_get (&exchange->request, relay->config.words->request_id),
+    .caller_service = relay->config.service,
+    .service = eel_route_split (route),
+    .rank = route->rank,
+    .nested
+    = eel_exchange_peer (exchange).sin_addr.s_addr == relay->config.ip.s_addr,
+    .idempotent = route->idempotent,
+    .target_us = now_us + route->target_us,
+    .deadline_us
+    = now_us + time_limit_us (relay, &exchange->request, route),
+  };
+  exchange->state = entry;
+  if (entry->replay != NULL && start_deadline (entry))
+    return entry;
+  eel_entry_free (entry);
+  return NULL;
+}
+
+/* Returns the route, or answers the exchange. */
+static struct eel_route *
+find_route (struct eel_relay *relay, struct eel_exchange *exchange)
+{
+  const char *host = eel_head_get (&exchange->request, "host");
+  struct eel_route *route;
+
+  if (relay->routes == NULL)
+    {
+      eel_entry_refuse (exchange, EEL_ERROR_NO_ENDPOINT, FIRST_RETRY_AFTER_US);
+      return NULL;
+    }
+  route = eel_route_table_find (relay->routes, host,
+                                eel_head_target (&exchange->request));
+  if (route == NULL)
+    eel_entry_refuse (exchange, EEL_ERROR_NOT_FOUND, 0);
+  return route;
+}
+
+static void
+on_request (struct eel_exchange *exchange)
+{
+  struct eel_relay *relay = eel_exchange_server (exchange)->owner;
+  struct eel_route *route = find_route (relay, exchange);
+  struct eel_entry *entry;
+
+  eel_metric_add (relay->counters.requests, 1);
+  if (route == NULL)
+    return;
+  entry = entry_new (exchange, route);
+  if (entry == NULL)
+    {
+      eel_entry_refuse (exchange, EEL_ERROR_OVERLOADED, FIRST_RETRY_AFTER_US);
+      return;
+    }
+  eel_retry_budget_success (&relay->budgets[entry->work.service]);
+  eel_entry_next (entry, EEL_ERROR_NO_ENDPOINT);
+}
+
+/* Keeps the body for another attempt as long as it is short. */
+static void
+keep_for_replay (struct eel_entry *entry, const char *data, size_t bytes)
+{
+  if (entry->replay == NULL)
+    return;
+  if (evbuffer_get_length (entry->replay) + bytes <= REPLAY_BYTES_MAX)
+    {
+      evbuffer_add (entry->replay, data, bytes);
+      return;
+    }
+  evbuffer_free (entry->replay);
+  entry->replay = NULL;
+}
+
+static void
+on_request_body (struct eel_exchange *exchange, const char *data, size_t bytes)
+{
+  struct eel_entry *entry = exchange->state;
+
+  keep_for_replay (entry, data, bytes);
+  if (entry->attempt == NULL)
+    return;
+  eel_attempt_body (entry->attempt, data, bytes);
+  if (eel_attempt_pending_bytes (entry->attempt) > BODY_PENDING_MAX)
+    eel_exchange_pause (exchange, 1);
+}
+
+static void
+on_request_end (struct eel_exchange *exchange)
+{
+  struct eel_entry *entry = exchange->state;
+
+  entry->body_done = 1;
+  if (entry->attempt != NULL)
+    eel_attempt_body_end (entry->attempt);
+}
+
+/* The caller has gone: nobody waits for the answer. */
+static void
+on_gone (struct eel_exchange *exchange)
+{
+  struct eel_entry *entry = exchange->state;
+
+  eel_metric_add (entry->relay->counters.gone, 1);
+  eel_entry_free (entry);
+}
+
+static void
+on_drained (struct eel_exchange *exchange)
+{
+  struct eel_entry *entry = exchange->state;
+
+  if (entry->attempt != NULL)
+    eel_attempt_pause (entry->attempt, 0);
+}
+
+const struct eel_server_ops eel_entry_ops = { .request = on_request,
+                                              .body = on_request_body,
+                                              .body_end = on_request_end,
+                                              .gone = on_gone,
+                                              .drained = on_drained };
+
+/* Sends the body that has arrived to a new attempt. */
+static void
+replay_body (struct eel_entry *entry)
+{
+  size_t bytes = evbuffer_get_length (entry->replay);
+
+  if (bytes > 0)
+    eel_attempt_body (entry->attempt, evbuffer_pullup (entry->replay, -1),
+                      bytes);
+  if (entry->body_done)
+    eel_attempt_body_end (entry->attempt);
+}
+
+/* Offers the request to the best endpoint that it has not been offered to. */
+void
+eel_entry_next (struct eel_entry *entry, enum eel_error if_none)
+{
+  struct eel_relay *relay = entry->relay;
+  const struct eel_place_query query = { .service = entry->work.service,
+                                         .tried = entry->tried,
+                                         .tried_count = entry->tried_count };
+  struct eel_instance *instance = NULL;
+
+  if (entry->tried_count < EEL_ENTRY_TRIES_MAX && entry->replay != NULL)
+    instance = eel_place_pick (&relay->directory, &query, eel_clock_us (),
+                               &relay->rng);
+  if (instance == NULL)
+    {
+      eel_entry_answer_error (entry, if_none);
+      return;
+    }
+  entry->tried[entry->tried_count++] = instance->id;
+  entry->work.instance_id = instance->id;
+  eel_attempt_free (entry->attempt);
+  entry->attempt = eel_attempt_new (relay, &entry->work, instance,
+                                    &eel_entry_attempt_ops, entry);
+  if (entry->attempt == NULL)
+    {
+      eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
+      return;
+    }
+  replay_body (entry);
+  /* May end the entry before it returns. */
+  eel_attempt_start (entry->attempt);
+}
--- /dev/null
+++ b/src/relay/entry_answer.c
@@ -0,0 +1,279 @@
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <string.h>
+
+#include "internal/task.h"
+#include "relay/entry.h"
+
+/* An answer up to this long is held until it is whole. */
+#define HELD_BYTES_MAX 65536
+/* The answer is not read on while this much waits for the caller. */
+#define ANSWER_PENDING_MAX 262144
+/* Share of the route's target after which a refused caller may return. */
+#define RETRY_AFTER_PERCENT 30
+#define RETRY_AFTER_LEAST_US (100 * EEL_US_PER_MS)
+
+/* Answers an exchange with an error kind and no body. */
+void
+eel_entry_refuse (struct eel_exchange *exchange,
+                  enum eel_error error,
+                  int64_t retry_after_us)
+{
+  const struct eel_error_info *info = eel_error_info (error);
+  struct evbuffer *lines = evbuffer_new ();
+
+  if (lines != NULL && retry_after_us > 0)
+    evbuffer_add_printf (lines, "Retry-After: %.3f\r\n",
+                         (double)retry_after_us / EEL_US_PER_S);
+  eel_exchange_answer (exchange, info->http_status, lines, EEL_FRAMING_LENGTH,
+                       0);
+  if (lines != NULL)
+    evbuffer_free (lines);
+  eel_exchange_end (exchange);
+}
+
+/* Spreads returning callers over a part of the time to the target. */
+static int64_t
+retry_after_us (struct eel_entry *entry)
+{
+  int64_t target_us = entry->work.target_us - entry->arrived_us;
+  int64_t base_us = target_us * RETRY_AFTER_PERCENT / 100;
+  int64_t left_us = entry->work.deadline_us - eel_clock_us ();
+
+  base_us = base_us / 2
+            + (int64_t)(eel_rng_unit (&entry->relay->rng) * (double)base_us);
+  if (base_us < RETRY_AFTER_LEAST_US)
+    base_us = RETRY_AFTER_LEAST_US;
+  return base_us < left_us / 3 ? base_us : left_us / 3;
+}
+
+/* A refusal is a promise that holds only when nothing can have run. */
+static enum eel_error
+truthful_error (const struct eel_entry *entry, enum eel_error error)
+{
+  uint16_t status = eel_error_info (error)->http_status;
+
+  if (entry->may_have_run && (status == 503 || status == 429))
+    return EEL_ERROR_UPSTREAM_FAILED;
+  return error;
+}
+
+/* Answers with an error of this node. */
+void
+eel_entry_answer_error (struct eel_entry *entry, enum eel_error error)
+{
+  struct eel_exchange *exchange = entry->exchange;
+  struct eel_relay *relay = entry->relay;
+  enum eel_error told = truthful_error (entry, error);
+  uint16_t status = eel_error_info (told)->http_status;
+  int64_t now_us = eel_clock_us ();
+  int64_t after_us = status == 503 ? retry_after_us (entry) : 0;
+
+  eel_metric_add (status == 503 ? relay->counters.refused
+                                : relay->counters.failed,
+                  1);
+  g_message ("event=not_served request=%s error=%s status=%u service=%s "
+             "rank=%u nested=%u tried=%u arrivals=%u may_have_run=%u "
+             "after_ms=%" PRId64 " left_ms=%" PRId64,
+             entry->work.request_id != NULL ? entry->work.request_id : "-",
+             eel_error_info (told)->name, status,
+             relay->names.names[entry->work.service], entry->work.rank,
+             entry->work.nested, entry->tried_count, entry->arrivals,
+             entry->may_have_run, (now_us - entry->arrived_us) / EEL_US_PER_MS,
+             (entry->work.deadline_us - now_us) / EEL_US_PER_MS);
+  eel_entry_free (entry);
+  eel_entry_refuse (exchange, told, after_us);
+}
+
+/* Fields of the endpoint's answer that the caller gets. */
+static struct evbuffer *
+answer_lines (const struct eel_entry *entry, const struct eel_head *head)
+{
+  const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, NULL };
+  struct evbuffer *lines = evbuffer_new ();
+
+  (void)entry;
+  if (lines != NULL)
+    eel_head_write_fields (head, lines, skip);
+  return lines;
+}
+
+static void
+drop_answer (struct eel_entry *entry)
+{
+  if (entry->lines != NULL)
+    evbuffer_free (entry->lines);
+  if (entry->held != NULL)
+    evbuffer_free (entry->held);
+  entry->lines = NULL;
+  entry->held = NULL;
+  entry->has_head = 0;
+}
+
+/* Statuses that promise that the request has not run. */
+static int
+is_promise (uint16_t status)
+{
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static void
+on_head (void *owner, const struct eel_head *head)
+{
+  struct eel_entry *entry = owner;
+
+  entry->lines = answer_lines (entry, head);
+  entry->held = evbuffer_new ();
+  entry->status = head->status;
+  entry->framing = head->framing;
+  entry->length_bytes = head->length_bytes;
+  entry->has_head = entry->lines != NULL && entry->held != NULL;
+}
+
+/* Sends what is held; the rest follows in pieces. */
+static void
+commit (struct eel_entry *entry)
+{
+  size_t bytes = evbuffer_get_length (entry->held);
+
+  entry->committed = 1;
+  eel_exchange_answer (entry->exchange, entry->status, entry->lines,
+                       entry->framing, entry->length_bytes);
+  if (bytes > 0)
+    eel_exchange_body (entry->exchange, evbuffer_pullup (entry->held, -1),
+                       bytes);
+}
+
+static void
+on_body (void *owner, const char *data, size_t bytes)
+{
+  struct eel_entry *entry = owner;
+
+  if (!entry->has_head)
+    return;
+  if (entry->committed)
+    eel_exchange_body (entry->exchange, data, bytes);
+  else
+    {
+      evbuffer_add (entry->held, data, bytes);
+      if (evbuffer_get_length (entry->held) > HELD_BYTES_MAX)
+        commit (entry);
+    }
+  if (entry->committed
+      && eel_exchange_pending_bytes (entry->exchange) > ANSWER_PENDING_MAX)
+    eel_attempt_pause (entry->attempt, 1);
+}
+
+/* A whole answer needs no chunks. */
+static void
+frame_held (struct eel_entry *entry)
+{
+  if (entry->framing == EEL_FRAMING_CHUNKED
+      || entry->framing == EEL_FRAMING_CLOSE)
+    {
+      entry->framing = EEL_FRAMING_LENGTH;
+      entry->length_bytes = evbuffer_get_length (entry->held);
+    }
+}
+
+static void
+on_end (void *owner)
+{
+  struct eel_entry *entry = owner;
+  struct eel_exchange *exchange = entry->exchange;
+  int64_t took_us = eel_clock_us () - entry->arrived_us;
+
+  entry->arrivals++;
+  if (!entry->has_head)
+    {
+      entry->may_have_run = 1;
+      eel_entry_answer_error (entry, EEL_ERROR_UPSTREAM_FAILED);
+      return;
+    }
+  if (is_promise (entry->status))
+    {
+      /* The endpoint did not say that the request has not run. */
+      entry->may_have_run = 1;
+      if (!entry->committed)
+        {
+          eel_entry_answer_error (entry, EEL_ERROR_UPSTREAM_FAILED);
+          return;
+        }
+    }
+  if (!entry->committed)
+    {
+      frame_held (entry);
+      commit (entry);
+    }
+  eel_metric_add (entry->relay->counters.served, 1);
+  eel_metric_observe (entry->relay->counters.latency, took_us);
+  eel_entry_free (entry);
+  eel_exchange_end (exchange);
+}
+
+/* True when the request may go to one more endpoint. */
+static int
+may_retry (struct eel_entry *entry)
+{
+  if (entry->arrivals >= entry->attempts_max || entry->replay == NULL
+      || (entry->may_have_run && !entry->work.idempotent))
+    return 0;
+  if (!eel_retry_budget_take (
+          &entry->relay->budgets[entry->work.service], eel_clock_us ()))
+    return 0;
+  eel_metric_add (entry->relay->counters.retries, 1);
+  return 1;
+}
+
+static void
+on_fail (void *owner, enum eel_attempt_failure failure, const char *reason)
+{
+  struct eel_entry *entry = owner;
+  int arrived = failure == EEL_FAILURE_SHED || failure == EEL_FAILURE_BROKEN;
+  enum eel_error error = failure == EEL_FAILURE_REFUSED
+                             ? EEL_ERROR_OVERLOADED
+                             : EEL_ERROR_NO_ENDPOINT;
+
+  if (failure == EEL_FAILURE_SHED)
+    error = EEL_ERROR_UPSTREAM_REFUSED;
+  if (failure == EEL_FAILURE_BROKEN)
+    {
+      error = EEL_ERROR_UPSTREAM_FAILED;
+      entry->may_have_run = 1;
+    }
+  entry->arrivals = (uint8_t)(entry->arrivals + arrived);
+  if (failure != EEL_FAILURE_REFUSED)
+    g_message ("event=attempt_failed request=%s failure=%s reason=\"%s\" "
+               "instance=%s arrivals=%u",
+               entry->work.request_id != NULL ? entry->work.request_id : "-",
+               eel_attempt_failure_name (failure), reason,
+               entry->work.instance_id, entry->arrivals);
+  if (entry->committed)
+    {
+      struct eel_exchange *exchange = entry->exchange;
+
+      eel_metric_add (entry->relay->counters.failed, 1);
+      eel_entry_free (entry);
+      eel_exchange_abort (exchange);
+      return;
+    }
+  drop_answer (entry);
+  if (arrived && !may_retry (entry))
+    eel_entry_answer_error (entry, error);
+  else
+    eel_entry_next (entry, error);
+}
+
+static void
+on_drained (void *owner)
+{
+  struct eel_entry *entry = owner;
+
+  eel_exchange_pause (entry->exchange, 0);
+}
+
+const struct eel_attempt_ops eel_entry_attempt_ops = { .head = on_head,
+                                                       .body = on_body,
+                                                       .end = on_end,
+                                                       .fail = on_fail,
+                                                       .drained = on_drained };
--- /dev/null
+++ b/src/relay/exchange.c
@@ -0,0 +1,161 @@
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay/conn.h"
+
+/* Adds an exchange at the end of its connection; NULL without memory. */
+struct eel_exchange *
+eel_exchange_new (struct eel_conn *conn, struct eel_head *head)
+{
+  struct eel_exchange *exchange = calloc (1, sizeof *exchange);
+
+  if (exchange == NULL)
+    return NULL;
+  exchange->out = evbuffer_new ();
+  if (exchange->out == NULL)
+    {
+      free (exchange);
+      return NULL;
+    }
+  exchange->conn = conn;
+  eel_head_init (&exchange->request);
+  eel_head_move (&exchange->request, head);
+  if (conn->last != NULL)
+    conn->last->next = exchange;
+  else
+    conn->first = exchange;
+  conn->last = exchange;
+  conn->count++;
+  conn->server->exchange_count++;
+  return exchange;
+}
+
+/* Frees an exchange that has been taken off its connection. */
+void
+eel_exchange_free (struct eel_exchange *exchange)
+{
+  exchange->conn->server->exchange_count--;
+  eel_head_finish (&exchange->request);
+  evbuffer_free (exchange->out);
+  free (exchange);
+}
+
+/* Returns the server of an exchange. */
+struct eel_server *
+eel_exchange_server (const struct eel_exchange *exchange)
+{
+  return exchange->conn->server;
+}
+
+/* Returns the address that the request came from. */
+struct sockaddr_in
+eel_exchange_peer (const struct eel_exchange *exchange)
+{
+  return exchange->conn->peer;
+}
+
+static const char *
+status_text (uint16_t status)
+{
+  static const struct
+  {
+    uint16_t status;
+    const char *text;
+  } texts[] = { { 200, "OK" },
+                { 400, "Bad Request" },
+                { 404, "Not Found" },
+                { 413, "Content Too Large" },
+                { 421, "Misdirected Request" },
+                { 429, "Too Many Requests" },
+                { 431, "Request Header Fields Too Large" },
+                { 500, "Internal Server Error" },
+                { 502, "Bad Gateway" },
+                { 503, "Service Unavailable" },
+                { 504, "Gateway Timeout" } };
+
+  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
+    if (texts[i].status == status)
+      return texts[i].text;
+  return "Status";
+}
+
+/* Writes the head of the answer. */
+void
+eel_exchange_answer (struct eel_exchange *exchange,
+                     uint16_t status,
+                     struct evbuffer *lines,
+                     enum eel_framing framing,
+                     uint64_t length_bytes)
+{
+  struct evbuffer *out = exchange->out;
+
+  exchange->answer_started = 1;
+  exchange->answer_framing = framing;
+  if (exchange->conn->server->closing || !exchange->request.keep_alive)
+    exchange->close_after = 1;
+  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, status_text (status));
+  if (lines != NULL)
+    evbuffer_add_buffer (out, lines);
+  eel_head_write_framing (framing, length_bytes, out);
+  if (exchange->close_after)
+    evbuffer_add (out, "Connection: close\r\n", 19);
+  evbuffer_add (out, "\r\n", 2);
+  eel_conn_flush (exchange->conn);
+}
+
+/* Writes one piece of the answer's body. */
+void
+eel_exchange_body (struct eel_exchange *exchange,
+                   const void *data,
+                   size_t bytes)
+{
+  eel_body_write (exchange->answer_framing, exchange->out, data, bytes);
+  eel_conn_flush (exchange->conn);
+}
+
+/* Ends the answer. */
+void
+eel_exchange_end (struct eel_exchange *exchange)
+{
+  eel_body_write_end (exchange->answer_framing, exchange->out);
+  exchange->answer_done = 1;
+  exchange->state = NULL;
+  eel_conn_flush (exchange->conn);
+}
+
+/* Closes the connection of an answer that can't be completed. */
+void
+eel_exchange_abort (struct eel_exchange *exchange)
+{
+  exchange->state = NULL;
+  eel_conn_close (exchange->conn);
+}
+
+/* Returns the bytes of the answer that are held. */
+size_t
+eel_exchange_pending_bytes (const struct eel_exchange *exchange)
+{
+  const struct eel_conn *conn = exchange->conn;
+  size_t bytes = evbuffer_get_length (exchange->out);
+
+  if (conn->first == exchange)
+    bytes += evbuffer_get_length (bufferevent_get_output (conn->bev));
+  return bytes;
+}
+
+/* Stops or resumes reading the request's body. */
+void
+eel_exchange_pause (struct eel_exchange *exchange, int pause)
+{
+  struct eel_conn *conn = exchange->conn;
+
+  if (conn->reading != exchange)
+    return;
+  if (pause)
+    bufferevent_disable (conn->bev, EV_READ);
+  else
+    bufferevent_enable (conn->bev, EV_READ);
+}
--- /dev/null
+++ b/src/relay/link.c
@@ -0,0 +1,354 @@
+#include "relay/link.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "eelgrasslatch/types.h"
+#include "internal/task.h"
+#include "relay/socket.h"
+
+/* Answers come from the users' upstreams; their heads are small. */
+#define ANSWER_HEAD_BYTES_MAX 65536
+#define READ_BYTES_MAX 65536
+
+/* Adds a link to its pool's active or idle list. */
+void
+eel_link_list (struct eel_link *link, int idle)
+{
+  struct eel_link **first = idle ? &link->pool->idle : &link->pool->active;
+
+  link->is_idle = (uint8_t)idle;
+  link->previous = NULL;
+  link->next = *first;
+  if (*first != NULL)
+    (*first)->previous = link;
+  *first = link;
+}
+
+/* Takes a link out of its list. */
+void
+eel_link_unlist (struct eel_link *link)
+{
+  struct eel_link **first
+      = link->is_idle ? &link->pool->idle : &link->pool->active;
+
+  if (link->previous != NULL)
+    link->previous->next = link->next;
+  else
+    *first = link->next;
+  if (link->next != NULL)
+    link->next->previous = link->previous;
+}
+
+static void
+link_free (struct eel_link *link)
+{
+  bufferevent_free (link->bev);
+  eel_reader_finish (&link->reader);
+  free (link);
+}
+
+/* Closes the connection; the struct lives on while its reader is running. */
+static void
+link_close (struct eel_link *link)
+{
+  if (link->closed)
+    return;
+  link->closed = 1;
+  link->reader.stopped = 1;
+  link->ops = NULL;
+  eel_link_unlist (link);
+  link->pool->open_count--;
+  bufferevent_disable (link->bev, EV_READ | EV_WRITE);
+  if (!link->feeding)
+    link_free (link);
+}
+
+/* Returns the link to its pool, or closes it when it can't be used again. */
+static void
+link_release (struct eel_link *link)
+{
+  struct evbuffer *input = bufferevent_get_input (link->bev);
+  struct evbuffer *output = bufferevent_get_output (link->bev);
+
+  link->ops = NULL;
+  if (!link->answer_keeps || !link->request_done || link->had_stray
+      || evbuffer_get_length (output) > 0
+      || evbuffer_get_length (input) > 0)
+    {
+      link_close (link);
+      return;
+    }
+  eel_link_unlist (link);
+  link->idle_since_us = eel_clock_us ();
+  bufferevent_enable (link->bev, EV_READ);
+  eel_link_list (link, 1);
+}
+
+static void
+link_fail (struct eel_link *link, const char *reason)
+{
+  const struct eel_link_ops *ops = link->ops;
+  void *owner = link->owner;
+  int sent = link->connected;
+
+  link_close (link);
+  if (ops != NULL)
+    ops->fail (owner, sent, reason);
+}
+
+/* Reads "timeout=N" of a Keep-Alive field. */
+static void
+read_idle_limit (struct eel_link *link, const struct eel_head *head)
+{
+  const char *value = eel_head_get (head, "keep-alive");
+  const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
+
+  link->idle_limit_us = link->pool->max_idle_us;
+  if (timeout != NULL)
+    {
+      /* A second is left for the request to arrive. */
+      int64_t limit_us
+          = (strtol (timeout + strlen ("timeout="), NULL, 10) - 1)
+            * EEL_US_PER_S;
+
+      if (limit_us < link->idle_limit_us)
+        link->idle_limit_us = limit_us;
+    }
+}
+
+static int
+answer_head (void *owner, struct eel_head *head)
+{
+  struct eel_link *link = owner;
+  int interim = head->status >= 100 && head->status < 200;
+
+  read_idle_limit (link, head);
+  link->answer_keeps
+      = (uint8_t)(head->keep_alive && head->framing != EEL_FRAMING_CLOSE);
+  link->stray = (uint8_t)(interim || link->ops == NULL);
+  if (!link->stray && !link->ops->head (link->owner, head))
+    {
+      link->stray = 1;
+      link->had_stray = 1;
+    }
+  return link->head_request;
+}
+
+static void
+answer_body (void *owner, const char *data, size_t bytes)
+{
+  struct eel_link *link = owner;
+
+  if (!link->stray && link->ops != NULL)
+    link->ops->body (link->owner, data, bytes);
+}
+
+static void
+answer_end (void *owner)
+{
+  struct eel_link *link = owner;
+
+  eel_reader_next (&link->reader);
+  if (!link->stray || link->ops == NULL)
+    link->answered = 1;
+}
+
+static const struct eel_reader_ops reader_ops
+    = { .head = answer_head, .body = answer_body, .end = answer_end };
+
+/* Hands the end of an answer to its owner, after the link is free again. */
+static void
+link_answered (struct eel_link *link)
+{
+  const struct eel_link_ops *ops = link->ops;
+  void *owner = link->owner;
+
+  link->answered = 0;
+  link_release (link);
+  if (ops != NULL)
+    ops->end (owner);
+}
+
+/* Takes one piece of input; NULL, or why the connection is of no more use. */
+static const char *
+feed_piece (struct eel_link *link, struct evbuffer *input)
+{
+  struct evbuffer_iovec chunk;
+  long taken;
+
+  if (link->is_idle)
+    return "bytes after a complete answer";
+  evbuffer_peek (input, -1, NULL, &chunk, 1);
+  link->feeding = 1;
+  taken = eel_reader_feed (&link->reader, chunk.iov_base, chunk.iov_len);
+  link->feeding = 0;
+  if (taken < 0)
+    return "answer is not HTTP";
+  evbuffer_drain (input, (size_t)taken);
+  return NULL;
+}
+
+static void
+link_feed (struct eel_link *link)
+{
+  struct evbuffer *input = bufferevent_get_input (link->bev);
+
+  while (evbuffer_get_length (input) > 0)
+    {
+      const char *reason = feed_piece (link, input);
+
+      if (link->closed)
+        {
+          link_free (link);
+          return;
+        }
+      if (reason != NULL)
+        {
+          link_fail (link, reason);
+          return;
+        }
+      if (link->answered)
+        {
+          /* Frees or reuses the link; a next answer is a next event. */
+          link_answered (link);
+          return;
+        }
+    }
+}
+
+static void
+on_read (struct bufferevent *bev, void *data)
+{
+  (void)bev;
+  link_feed (data);
+}
+
+static void
+on_write (struct bufferevent *bev, void *data)
+{
+  struct eel_link *link = data;
+
+  (void)bev;
+  if (link->ops != NULL)
+    link->ops->drained (link->owner);
+}
+
+/* A clean end may complete an answer without a length. */
+static void
+link_eof (struct eel_link *link)
+{
+  int complete;
+
+  link->answer_keeps = 0;
+  link->feeding = 1;
+  complete = eel_reader_eof (&link->reader);
+  link->feeding = 0;
+  if (link->closed)
+    link_free (link);
+  else if (link->answered)
+    link_answered (link);
+  else
+    link_fail (link, complete ? "connection closed" : "answer cut short");
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *data)
+{
+  struct eel_link *link = data;
+
+  if ((what & BEV_EVENT_CONNECTED) != 0)
+    {
+      link->connected = 1;
+      bufferevent_set_timeouts (bev, NULL, NULL);
+      eel_socket_set (bufferevent_getfd (bev), link->pool->silence_ms);
+      return;
+    }
+  if ((what & BEV_EVENT_EOF) != 0)
+    link_eof (link);
+  else if ((what & BEV_EVENT_TIMEOUT) != 0)
+    link_fail (link, "connect timed out");
+  else
+    link_fail (link, link->connected ? "connection reset" : "connect failed");
+}
+
+/* Opens a connection; NULL when no socket can be had. */
+struct eel_link *
+eel_link_open (struct eel_pool *pool)
+{
+  struct eel_link *link = calloc (1, sizeof *link);
+  struct timeval limit = { .tv_sec = pool->connect_us / EEL_US_PER_S,
+                           .tv_usec = pool->connect_us % EEL_US_PER_S };
+
+  if (link == NULL)
+    return NULL;
+  link->pool = pool;
+  link->idle_limit_us = pool->max_idle_us;
+  link->bev = bufferevent_socket_new (pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  if (link->bev == NULL)
+    {
+      free (link);
+      return NULL;
+    }
+  eel_reader_init (&link->reader, HTTP_RESPONSE, &reader_ops, link,
+                   ANSWER_HEAD_BYTES_MAX);
+  bufferevent_setcb (link->bev, on_read, on_write, on_event, link);
+  bufferevent_setwatermark (link->bev, EV_READ, 0, READ_BYTES_MAX);
+  bufferevent_set_timeouts (link->bev, NULL, &limit);
+  bufferevent_enable (link->bev, EV_READ | EV_WRITE);
+  if (bufferevent_socket_connect (link->bev,
+                                  (struct sockaddr *)&pool->address,
+                                  sizeof pool->address)
+      != 0)
+    {
+      link_free (link);
+      return NULL;
+    }
+  pool->open_count++;
+  return link;
+}
+
+/* Returns the buffer that the request's body is written to. */
+struct evbuffer *
+eel_link_output (struct eel_link *link)
+{
+  return bufferevent_get_output (link->bev);
+}
+
+/* Marks the request as written whole. */
+void
+eel_link_request_done (struct eel_link *link)
+{
+  link->request_done = 1;
+}
+
+/* Stops or resumes reading the answer. */
+void
+eel_link_pause (struct eel_link *link, int pause)
+{
+  if (pause)
+    bufferevent_disable (link->bev, EV_READ);
+  else
+    bufferevent_enable (link->bev, EV_READ);
+}
+
+/* Closes the connection without a callback. */
+void
+eel_link_cancel (struct eel_link *link)
+{
+  link_close (link);
+}
+
+/* Leaves the rest of the answer to nobody. */
+void
+eel_link_discard (struct eel_link *link)
+{
+  link->ops = NULL;
+  if (!link->request_done)
+    link_close (link);
+  else
+    bufferevent_enable (link->bev, EV_READ);
+}
--- /dev/null
+++ b/src/relay/relay.c
@@ -0,0 +1,223 @@
+#include "relay/relay.h"
+
+#include <event2/event.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "internal/task.h"
+#include "relay/attempt.h"
+
+#define INSTANCES_MAX 4096
+/* Slots of an endpoint that the registry has not shown yet. */
+#define FIRST_SLOTS 16
+#define TICK_US (100 * EEL_US_PER_MS)
+/* Peers on other VMs are given up after this silence. */
+#define PEER_SILENCE_MS 1500
+/* Retries that a node may send at once, and whatever the traffic is. */
+#define RETRY_CAPACITY_MILLI 3000
+#define RETRY_PER_SECOND_MILLI 50
+
+static void
+pool_free (void *data)
+{
+  eel_pool_finish (data);
+  g_free (data);
+}
+
+static void
+sweep_pool (void *key, void *value, void *data)
+{
+  (void)key;
+  eel_pool_sweep (value, *(int64_t *)data);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *data)
+{
+  struct eel_relay *relay = data;
+  int64_t now_us = eel_clock_us ();
+
+  (void)fd;
+  (void)what;
+  eel_directory_tick (&relay->directory, now_us);
+  eel_server_sweep (&relay->callers, now_us);
+  eel_server_sweep (&relay->peers, now_us);
+  eel_pool_sweep (&relay->endpoint, now_us);
+  g_hash_table_foreach (relay->links, sweep_pool, &now_us);
+  eel_relay_pump (relay);
+}
+
+static void
+init_counters (struct eel_relay_counters *counters, struct eel_metrics *metrics)
+{
+#define COUNTER(field, name, help) \
+  counters->field \
+      = eel_metrics_get (metrics, EEL_METRIC_COUNTER, name, "", help)
+  COUNTER (requests, "eel_relay_requests_total", "Requests of callers.");
+  COUNTER (served, "eel_relay_served_total", "Requests with an answer.");
+  COUNTER (refused, "eel_relay_refused_total", "Requests told to come back.");
+  COUNTER (failed, "eel_relay_failed_total", "Requests that failed.");
+  COUNTER (retries, "eel_relay_retries_total", "Further arrivals.");
+  COUNTER (gone, "eel_relay_gone_total", "Requests whose caller left.");
+  COUNTER (runs, "eel_relay_runs_total", "Requests sent to the endpoint.");
+#undef COUNTER
+  counters->latency = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
+                                       "eel_relay_latency_seconds", "",
+                                       "Time to the end of an answer.");
+  counters->hold = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
+                                    "eel_relay_slot_seconds", "",
+                                    "Time that a request holds a slot.");
+}
+
+static void
+init_budgets (struct eel_relay *relay)
+{
+  for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX; i++)
+    eel_retry_budget_init (&relay->budgets[i], RETRY_CAPACITY_MILLI,
+                           (int64_t)(relay->config.retry_ratio * 1000),
+                           RETRY_PER_SECOND_MILLI, eel_clock_us ());
+}
+
+/* Opens the listeners; 0 when one can't be had. */
+int
+eel_relay_init (struct eel_relay *relay,
+                struct event_base *base,
+                const struct eel_relay_config *config,
+                struct eel_metrics *metrics)
+{
+  const struct timeval tick = { .tv_usec = TICK_US };
+  struct eel_instance *instances
+      = calloc (INSTANCES_MAX, sizeof (struct eel_instance));
+
+  memset (relay, 0, sizeof *relay);
+  relay->base = base;
+  relay->config = *config;
+  eel_rng_init (&relay->rng,
+                (uint64_t)eel_clock_us () ^ ((uint64_t)config->ip.s_addr << 32));
+  eel_service_names_init (&relay->names);
+  relay->service = eel_service_number (&relay->names, config->service);
+  eel_gate_init (&relay->gate, FIRST_SLOTS);
+  init_budgets (relay);
+  init_counters (&relay->counters, metrics);
+  eel_pool_init (&relay->endpoint, base, &config->endpoint);
+  relay->links
+      = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, pool_free);
+  if (instances == NULL)
+    return 0;
+  eel_directory_init (&relay->directory, instances, INSTANCES_MAX);
+  relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
+  return relay->tick != NULL && event_add (relay->tick, &tick) == 0
+         && eel_server_init (&relay->callers, base, &config->callers,
+                             &eel_entry_ops, relay)
+         && eel_server_init (&relay->peers, base, &config->peers,
+                             &eel_executor_ops, relay);
+}
+
+/* Closes everything. */
+void
+eel_relay_finish (struct eel_relay *relay)
+{
+  eel_server_finish (&relay->callers);
+  eel_server_finish (&relay->peers);
+  eel_pool_finish (&relay->endpoint);
+  g_hash_table_destroy (relay->links);
+  if (relay->tick != NULL)
+    event_free (relay->tick);
+  if (relay->routes != NULL)
+    {
+      eel_route_table_finish (relay->routes);
+      free (relay->routes);
+    }
+  free (relay->directory.instances);
+  eel_service_names_finish (&relay->names);
+}
+
+/* Puts a table in force. */
+void
+eel_relay_set_routes (struct eel_relay *relay,
+                      struct eel_route_table *routes,
+                      const struct eel_server_limits *limits)
+{
+  if (relay->routes != NULL)
+    {
+      eel_route_table_finish (relay->routes);
+      free (relay->routes);
+    }
+  relay->routes = routes;
+  relay->callers.limits = *limits;
+}
+
+/* Returns the entry of the endpoint beside this node. */
+struct eel_instance *
+eel_relay_own_instance (struct eel_relay *relay)
+{
+  return eel_directory_at (&relay->directory, relay->config.ip.s_addr,
+                           relay->service);
+}
+
+/* Takes over the slots of the own endpoint. */
+void
+eel_relay_endpoints_changed (struct eel_relay *relay)
+{
+  struct eel_instance *own = eel_relay_own_instance (relay);
+
+  if (own != NULL && own->slots > 0)
+    eel_gate_set_slots (&relay->gate, own->slots);
+  eel_relay_pump (relay);
+}
+
+/* Sends peers elsewhere; what is in flight goes on. */
+void
+eel_relay_stop (struct eel_relay *relay)
+{
+  relay->stopping = 1;
+  relay->callers.closing = 1;
+  relay->peers.closing = 1;
+}
+
+/* True when no request is in flight. */
+int
+eel_relay_is_idle (const struct eel_relay *relay)
+{
+  return relay->callers.exchange_count == 0 && relay->peers.exchange_count == 0;
+}
+
+/* Returns the links to the node at an address. */
+struct eel_pool *
+eel_relay_pool (struct eel_relay *relay, uint32_t ip)
+{
+  struct eel_pool *pool
+      = g_hash_table_lookup (relay->links, GUINT_TO_POINTER (ip));
+  struct sockaddr_in address = relay->config.peers;
+
+  if (pool != NULL)
+    return pool;
+  /* All nodes use the same port. */
+  address.sin_addr.s_addr = ip;
+  pool = g_new0 (struct eel_pool, 1);
+  eel_pool_init (pool, relay->base, &address);
+  pool->silence_ms = PEER_SILENCE_MS;
+  g_hash_table_insert (relay->links, GUINT_TO_POINTER (ip), pool);
+  return pool;
+}
+
+/* Starts queued requests and refuses those that have waited too long. */
+void
+eel_relay_pump (struct eel_relay *relay)
+{
+  struct eel_gate_item item;
+
+  for (;;)
+    switch (eel_gate_next (&relay->gate, &item, eel_clock_us ()))
+      {
+      case EEL_GATE_START:
+        eel_attempt_admitted (item.owner);
+        break;
+      case EEL_GATE_REFUSE:
+        eel_attempt_refused (item.owner);
+        break;
+      case EEL_GATE_QUEUE:
+        return;
+      }
+}
--- /dev/null
+++ b/src/relay/server.c
@@ -0,0 +1,114 @@
+#include "relay/server.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <string.h>
+
+#include "eelgrasslatch/types.h"
+#include "relay/conn.h"
+
+/* Until the operator's limits arrive. */
+#define FIRST_HEAD_BYTES 16384
+#define FIRST_BODY_BYTES (64 * 1024 * 1024)
+#define FIRST_HEAD_US (5 * EEL_US_PER_S)
+#define FIRST_IDLE_US (30 * EEL_US_PER_S)
+#define FIRST_MAX_CONNS 3000
+#define BACKLOG 1024
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int bytes,
+           void *data)
+{
+  struct eel_server *server = data;
+  struct sockaddr_in peer = { 0 };
+
+  (void)listener;
+  if (server->conn_count >= server->max_conns)
+    {
+      server->refused++;
+      evutil_closesocket (fd);
+      return;
+    }
+  if (bytes == (int)sizeof peer)
+    memcpy (&peer, address, sizeof peer);
+  server->accepted++;
+  eel_conn_open (server, fd, &peer);
+}
+
+/* Listens at the address; 0 when it can't be bound. */
+int
+eel_server_init (struct eel_server *server,
+                 struct event_base *base,
+                 const struct sockaddr_in *address,
+                 const struct eel_server_ops *ops,
+                 void *owner)
+{
+  memset (server, 0, sizeof *server);
+  server->base = base;
+  server->ops = ops;
+  server->owner = owner;
+  server->max_conns = FIRST_MAX_CONNS;
+  server->limits = (struct eel_server_limits){ FIRST_HEAD_BYTES,
+                                               FIRST_BODY_BYTES, FIRST_HEAD_US,
+                                               FIRST_IDLE_US };
+  server->listener = evconnlistener_new_bind (
+      base, on_accept, server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      BACKLOG, (const struct sockaddr *)address, sizeof *address);
+  return server->listener != NULL;
+}
+
+/* Closes the listening socket. */
+void
+eel_server_stop (struct eel_server *server)
+{
+  if (server->listener != NULL)
+    evconnlistener_free (server->listener);
+  server->listener = NULL;
+}
+
+/* Closes everything; open exchanges are reported as gone. */
+void
+eel_server_finish (struct eel_server *server)
+{
+  eel_server_stop (server);
+  while (server->conns != NULL)
+    eel_conn_close (server->conns);
+}
+
+/* Closes connections past the limits on idle time and on reading a head. */
+void
+eel_server_sweep (struct eel_server *server, int64_t now_us)
+{
+  struct eel_conn *conn = server->conns;
+
+  while (conn != NULL)
+    {
+      struct eel_conn *next = conn->next;
+      int64_t limit_us = conn->reader.started ? server->limits.head_us
+                                              : server->limits.idle_us;
+
+      if (conn->count == 0 && now_us - conn->since_us > limit_us)
+        eel_conn_close (conn);
+      conn = next;
+    }
+}
+
+/* Closes connections that carry no request. */
+void
+eel_server_close_idle (struct eel_server *server)
+{
+  struct eel_conn *conn = server->conns;
+
+  while (conn != NULL)
+    {
+      struct eel_conn *next = conn->next;
+
+      if (conn->count == 0 && !conn->reader.started)
+        eel_conn_close (conn);
+      conn = next;
+    }
+}
--- /dev/null
+++ b/src/relay/server.h
@@ -0,0 +1,108 @@
+#ifndef EEL_RELAY_SERVER_H
+#define EEL_RELAY_SERVER_H
+
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include "relay/reader.h"
+
+/*
+ * Listener side.  Each connection may carry several requests at once; their
+ * answers leave in the order in which the requests came.
+ */
+
+struct evbuffer;
+struct evconnlistener;
+struct event_base;
+struct eel_conn;
+struct eel_exchange;
+
+struct eel_server_ops
+{
+  void (*request) (struct eel_exchange *exchange);
+  void (*body) (struct eel_exchange *exchange, const char *data, size_t bytes);
+  void (*body_end) (struct eel_exchange *exchange);
+  /* The peer has gone; the exchange is freed after this. */
+  void (*gone) (struct eel_exchange *exchange);
+  /* All that was written has left this process. */
+  void (*drained) (struct eel_exchange *exchange);
+};
+
+struct eel_server_limits
+{
+  uint32_t max_head_bytes;
+  uint64_t max_body_bytes;
+  int64_t head_us;
+  int64_t idle_us;
+};
+
+struct eel_server
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  const struct eel_server_ops *ops;
+  void *owner;
+  struct eel_server_limits limits;
+  struct eel_conn *conns;
+  uint32_t conn_count;
+  uint32_t max_conns;
+  uint32_t exchange_count;
+  /* Answers close their connections. */
+  uint8_t closing;
+  uint64_t accepted;
+  uint64_t refused;
+};
+
+struct eel_exchange
+{
+  struct eel_conn *conn;
+  struct eel_exchange *next;
+  struct eel_head request;
+  struct evbuffer *out;
+  /* State of the server's owner. */
+  void *state;
+  uint64_t body_bytes;
+  enum eel_framing answer_framing;
+  uint8_t request_done;
+  uint8_t answer_started;
+  uint8_t answer_done;
+  uint8_t close_after;
+};
+
+int eel_server_init (struct eel_server *server,
+                     struct event_base *base,
+                     const struct sockaddr_in *address,
+                     const struct eel_server_ops *ops,
+                     void *owner);
+/* Takes no new connections. */
+void eel_server_stop (struct eel_server *server);
+void eel_server_finish (struct eel_server *server);
+/* Closes connections that are idle or late with a head. */
+void eel_server_sweep (struct eel_server *server, int64_t now_us);
+/* Closes connections without a request. */
+void eel_server_close_idle (struct eel_server *server);
+
+struct eel_server *eel_exchange_server (const struct eel_exchange *exchange);
+struct sockaddr_in eel_exchange_peer (const struct eel_exchange *exchange);
+/*
+ * Writes an answer: a status line and lines that end with CRLF, then the body
+ * in pieces, then its end.
+ */
+void eel_exchange_answer (struct eel_exchange *exchange,
+                          uint16_t status,
+                          struct evbuffer *lines,
+                          enum eel_framing framing,
+                          uint64_t length_bytes);
+void eel_exchange_body (struct eel_exchange *exchange,
+                        const void *data,
+                        size_t bytes);
+/* The exchange may be freed inside. */
+void eel_exchange_end (struct eel_exchange *exchange);
+/* Breaks the answer off by closing the connection; frees the exchange. */
+void eel_exchange_abort (struct eel_exchange *exchange);
+/* Bytes of the answer that have not left yet. */
+size_t eel_exchange_pending_bytes (const struct eel_exchange *exchange);
+/* Stops or resumes reading the request's body. */
+void eel_exchange_pause (struct eel_exchange *exchange, int pause);
+
+#endif
--- /dev/null
+++ b/src/routing/route_table.c
@@ -0,0 +1,215 @@
+#include "eelgrasslatch/route_table.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "internal/hash.h"
+
+/* Prepares an empty table of names. */
+void
+eel_service_names_init (struct eel_service_names *names)
+{
+  names->count = 0;
+}
+
+/* Frees the names. */
+void
+eel_service_names_finish (struct eel_service_names *names)
+{
+  for (uint16_t i = 0; i < names->count; i++)
+    free (names->names[i]);
+  names->count = 0;
+}
+
+/* Returns the number of a name, adding it when it is new. */
+uint16_t
+eel_service_number (struct eel_service_names *names, const char *name)
+{
+  for (uint16_t i = 0; i < names->count; i++)
+    if (strcmp (names->names[i], name) == 0)
+      return i;
+  if (names->count == EEL_SERVICE_NAMES_MAX)
+    return EEL_NO_SERVICE;
+  names->names[names->count] = strdup (name);
+  if (names->names[names->count] == NULL)
+    return EEL_NO_SERVICE;
+  return names->count++;
+}
+
+/* Prepares an empty table of one version. */
+void
+eel_route_table_init (struct eel_route_table *table, uint64_t version)
+{
+  *table = (struct eel_route_table){ .version = version };
+}
+
+/* Frees the routes. */
+void
+eel_route_table_finish (struct eel_route_table *table)
+{
+  for (uint32_t i = 0; i < table->count; i++)
+    {
+      free (table->routes[i].host);
+      free (table->routes[i].prefix);
+    }
+  free (table->routes);
+  *table = (struct eel_route_table){ 0 };
+}
+
+static int
+route_is_valid (const struct eel_route *route)
+{
+  uint64_t weight = 0;
+
+  if (route->part_count == 0 || route->part_count > EEL_ROUTE_PARTS_MAX)
+    return 0;
+  for (uint8_t i = 0; i < route->part_count; i++)
+    {
+      if (route->parts[i].service == EEL_NO_SERVICE)
+        return 0;
+      weight += route->parts[i].weight;
+    }
+  return weight > 0 && route->host[0] != 0 && route->prefix[0] == '/'
+         && route->attempts > 0 && route->timeout_us > 0;
+}
+
+/* Adds a copy of a route. */
+int
+eel_route_table_add (struct eel_route_table *table,
+                     const struct eel_route *route)
+{
+  struct eel_route *copy;
+
+  if (!route_is_valid (route))
+    return 0;
+  if (table->count == table->capacity)
+    {
+      uint32_t capacity = table->capacity == 0 ? 64 : table->capacity * 2;
+      struct eel_route *routes
+          = realloc (table->routes, capacity * sizeof *routes);
+
+      if (routes == NULL)
+        return 0;
+      table->routes = routes;
+      table->capacity = capacity;
+    }
+  copy = &table->routes[table->count];
+  *copy = *route;
+  copy->host = strdup (route->host);
+  copy->prefix = strdup (route->prefix);
+  if (copy->host == NULL || copy->prefix == NULL)
+    {
+      free (copy->host);
+      free (copy->prefix);
+      return 0;
+    }
+  copy->prefix_bytes = (uint32_t)strlen (copy->prefix);
+  copy->id = eel_hash64 (copy->prefix, copy->prefix_bytes,
+                         eel_hash64 (copy->host, strlen (copy->host), 0));
+  table->count++;
+  return 1;
+}
+
+/* By host, then the longest prefix first. */
+static int
+compare_routes (const void *a, const void *b)
+{
+  const struct eel_route *left = a;
+  const struct eel_route *right = b;
+  int order = strcasecmp (left->host, right->host);
+
+  if (order != 0)
+    return order;
+  return (left->prefix_bytes < right->prefix_bytes)
+         - (left->prefix_bytes > right->prefix_bytes);
+}
+
+/* Sorts the routes and spreads the first turns of the splits. */
+void
+eel_route_table_seal (struct eel_route_table *table, struct eel_rng *rng)
+{
+  if (table->count > 0)
+    qsort (table->routes, table->count, sizeof *table->routes, compare_routes);
+  for (uint32_t i = 0; i < table->count; i++)
+    for (uint8_t j = 0; j < table->routes[i].part_count; j++)
+      {
+        struct eel_route_part *part = &table->routes[i].parts[j];
+
+        part->owed = eel_rng_below (rng, part->weight + 1);
+      }
+}
+
+/* Compares a host with the part of the field before its port. */
+static int
+compare_host (const struct eel_route *route, const char *host, size_t bytes)
+{
+  int order = strncasecmp (route->host, host, bytes);
+
+  if (order != 0)
+    return order;
+  return route->host[bytes] == 0 ? 0 : 1;
+}
+
+static uint32_t
+first_of_host (const struct eel_route_table *table,
+               const char *host,
+               size_t bytes)
+{
+  uint32_t low = 0;
+  uint32_t high = table->count;
+
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+
+      if (compare_host (&table->routes[middle], host, bytes) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+/* Returns the route with the longest prefix that begins the path. */
+struct eel_route *
+eel_route_table_find (struct eel_route_table *table,
+                      const char *host,
+                      const char *target)
+{
+  size_t host_bytes = strcspn (host, ":");
+  size_t path_bytes = strcspn (target, "?");
+
+  for (uint32_t i = first_of_host (table, host, host_bytes);
+       i < table->count
+       && compare_host (&table->routes[i], host, host_bytes) == 0;
+       i++)
+    {
+      struct eel_route *route = &table->routes[i];
+
+      if (route->prefix_bytes <= path_bytes
+          && memcmp (route->prefix, target, route->prefix_bytes) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+/* Smooth weighted round robin: shares hold over short runs too. */
+uint16_t
+eel_route_split (struct eel_route *route)
+{
+  struct eel_route_part *best = &route->parts[0];
+  int64_t total = 0;
+
+  for (uint8_t i = 0; i < route->part_count; i++)
+    {
+      struct eel_route_part *part = &route->parts[i];
+
+      part->owed += part->weight;
+      total += part->weight;
+      if (part->owed > best->owed)
+        best = part;
+    }
+  best->owed -= total;
+  return best->service;
+}
