--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -120,6 +120,13 @@
   return bytes;
 }
 
+/* True once bytes may have reached an endpoint, or its node, that may run it. */
+int
+eel_attempt_may_have_run (const struct eel_attempt *attempt)
+{
+  return attempt->link != NULL;
+}
+
 /* Stops or resumes reading the answer. */
 void
 eel_attempt_pause (struct eel_attempt *attempt, int pause)
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -103,6 +103,7 @@
 void eel_attempt_body_end (struct eel_attempt *attempt);
 /* Bytes of the request's body that have not left. */
 size_t eel_attempt_pending_bytes (const struct eel_attempt *attempt);
+int eel_attempt_may_have_run (const struct eel_attempt *attempt);
 void eel_attempt_pause (struct eel_attempt *attempt, int pause);
 /* Ends the attempt, cancelling what runs, and frees it. */
 void eel_attempt_free (struct eel_attempt *attempt);
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -39,10 +39,12 @@
 
   (void)fd;
   (void)what;
-  if (!entry->committed)
-    eel_entry_answer_error (entry, entry->may_have_run || entry->arrivals > 0
-                                       ? EEL_ERROR_OUTCOME_UNKNOWN
-                                       : EEL_ERROR_OVERLOADED);
+  if (entry->committed)
+    return;
+  if (entry->attempt != NULL && eel_attempt_may_have_run (entry->attempt))
+    entry->may_have_run = 1;
+  eel_entry_answer_error (entry, entry->may_have_run ? EEL_ERROR_OUTCOME_UNKNOWN
+                                                     : EEL_ERROR_OVERLOADED);
 }
 
 static int
