--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -10,8 +10,8 @@
 
 static const char *const failure_names[EEL_FAILURE_COUNT] = {
   [EEL_FAILURE_REFUSED] = "refused", [EEL_FAILURE_LEAVING] = "leaving",
-  [EEL_FAILURE_SHED] = "shed",       [EEL_FAILURE_UNREACHABLE] = "unreachable",
-  [EEL_FAILURE_BROKEN] = "broken",
+  [EEL_FAILURE_SHED] = "shed",       [EEL_FAILURE_MISDIRECTED] = "misdirected",
+  [EEL_FAILURE_BROKEN] = "broken",   [EEL_FAILURE_UNREACHABLE] = "unreachable",
 };
 
 /* Returns the name of a failure, as it goes between nodes and into logs. */
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -20,6 +20,8 @@
   EEL_FAILURE_LEAVING,
   /* The endpoint has said that it did not run the request. */
   EEL_FAILURE_SHED,
+  /* Another endpoint has the address; it did not run the request. */
+  EEL_FAILURE_MISDIRECTED,
   /* No connection: nothing was sent. */
   EEL_FAILURE_UNREACHABLE,
   /* The answer is missing, cut or not HTTP: the request may have run. */
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -8,6 +8,8 @@
 /* A kept link that was idle for longer may be closing at the other end. */
 #define FRESH_ONCE_US (1 * EEL_US_PER_S)
 #define FRESH_SAFE_US (8 * EEL_US_PER_S)
+/* An endpoint that has said who it is isn't asked for another meanwhile. */
+#define ACTUAL_LIFE_US (4 * EEL_US_PER_S)
 
 static void
 slot_done (struct eel_attempt *attempt, int says_time)
@@ -37,6 +39,19 @@
   eel_relay_pump (relay);
 }
 
+/* Remembers which endpoint stands at the address of the expected one. */
+static void
+note_actual_instance (struct eel_relay *relay, const struct eel_head *head)
+{
+  const char *actual
+      = eel_head_get (head, relay->config.words->actual_instance);
+
+  if (actual == NULL)
+    return;
+  g_strlcpy (relay->actual_instance, actual, sizeof relay->actual_instance);
+  relay->actual_until_us = eel_clock_us () + ACTUAL_LIFE_US;
+}
+
 /* The answer that carries another request's id is not ours. */
 static int
 on_head (void *owner, struct eel_head *head)
@@ -58,7 +73,9 @@
     }
   attempt->is_refusal = (uint8_t)not_run;
   attempt->refusal
-      = head->status == 421 ? EEL_FAILURE_LEAVING : EEL_FAILURE_SHED;
+      = head->status == 421 ? EEL_FAILURE_MISDIRECTED : EEL_FAILURE_SHED;
+  if (head->status == 421)
+    note_actual_instance (attempt->relay, head);
   if (!not_run)
     attempt->ops->head (attempt->owner, head);
   return 1;
@@ -172,6 +189,9 @@
   own = eel_directory_find (&relay->directory, attempt->work.instance_id);
   if (own != NULL && !eel_instance_usable (own))
     return "endpoint is leaving";
+  if (eel_clock_us () < relay->actual_until_us
+      && strcmp (relay->actual_instance, attempt->work.instance_id) != 0)
+    return "another endpoint has the address";
   return NULL;
 }
 
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -75,6 +75,7 @@
       return;
     }
   if (attempt->refusal == EEL_FAILURE_LEAVING
+      || attempt->refusal == EEL_FAILURE_MISDIRECTED
       || attempt->refusal == EEL_FAILURE_UNREACHABLE)
     eel_place_failed (attempt->instance, eel_clock_us ());
   attempt->ops->fail (attempt->owner, attempt->refusal, "refused by its node");
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -229,7 +229,8 @@
 on_fail (void *owner, enum eel_attempt_failure failure, const char *reason)
 {
   struct eel_entry *entry = owner;
-  int arrived = failure == EEL_FAILURE_SHED || failure == EEL_FAILURE_BROKEN;
+  int arrived = failure == EEL_FAILURE_SHED || failure == EEL_FAILURE_BROKEN
+                || failure == EEL_FAILURE_MISDIRECTED;
   enum eel_error error = failure == EEL_FAILURE_REFUSED
                              ? EEL_ERROR_OVERLOADED
                              : EEL_ERROR_NO_ENDPOINT;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -29,6 +29,8 @@
   const char *caller_service;
   /* The endpoint says that it didn't run the request. */
   const char *not_executed;
+  /* Names the endpoint that answers instead of the expected one. */
+  const char *actual_instance;
   /* Proves an answer to be the endpoint's. */
   const char *signature;
 };
@@ -78,6 +80,9 @@
   struct eel_server callers;
   struct eel_server peers;
   struct eel_pool endpoint;
+  /* Who answered instead of the expected endpoint, for a while. */
+  char actual_instance[EEL_INSTANCE_ID_MAX];
+  int64_t actual_until_us;
   /* By IPv4 address. */
   GHashTable *links;
   struct event *tick;
