--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "eelgrasslatch/types.h"
 #include "internal/task.h"
@@ -66,6 +67,20 @@
     conn_free (conn);
 }
 
+/*
+ * Ends a connection after its last answer.  The peer closes first: closing
+ * with unread bytes would reset the connection and lose the answer.
+ */
+static void
+linger (struct eel_conn *conn)
+{
+  if (conn->lingering)
+    return;
+  conn->lingering = 1;
+  conn->since_us = eel_clock_us ();
+  shutdown (bufferevent_getfd (conn->bev), SHUT_WR);
+}
+
 /* Takes a finished exchange off the front. */
 static void
 pop_first (struct eel_conn *conn)
@@ -275,7 +290,7 @@
     conn_free (conn);
   else if (conn->closing
            && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
-    eel_conn_close (conn);
+    linger (conn);
 }
 
 static void
@@ -292,7 +307,7 @@
 
   (void)bev;
   if (conn->closing)
-    eel_conn_close (conn);
+    linger (conn);
   else if (conn->first != NULL && conn->first->state != NULL)
     conn->server->ops->drained (conn->first);
 }
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -27,6 +27,8 @@
   uint8_t deaf;
   /* Closes when the output has left. */
   uint8_t closing;
+  /* The last answer has left; waits for the peer to close its side. */
+  uint8_t lingering;
 };
 
 struct eel_conn *eel_conn_open (struct eel_server *server,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -180,7 +180,8 @@
 int
 eel_relay_is_idle (const struct eel_relay *relay)
 {
-  return relay->callers.exchange_count == 0 && relay->peers.exchange_count == 0;
+  return eel_server_is_idle (&relay->callers)
+         && eel_server_is_idle (&relay->peers);
 }
 
 /* Returns the links to the node at an address. */
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -1,6 +1,7 @@
 #include "relay/server.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <string.h>
@@ -15,6 +16,8 @@
 #define FIRST_IDLE_US (30 * EEL_US_PER_S)
 #define FIRST_MAX_CONNS 3000
 #define BACKLOG 1024
+/* A peer that has its last answer closes within a round trip. */
+#define LINGER_US (1 * EEL_US_PER_S)
 
 static void
 on_accept (struct evconnlistener *listener,
@@ -91,13 +94,28 @@
       int64_t limit_us = conn->reader.started ? server->limits.head_us
                                               : server->limits.idle_us;
 
+      if (conn->lingering)
+        limit_us = LINGER_US;
       if (conn->count == 0 && now_us - conn->since_us > limit_us)
         eel_conn_close (conn);
       conn = next;
     }
 }
 
-/* Closes connections that carry no request. */
+/* True when no request is open and every answer has left this process. */
+int
+eel_server_is_idle (const struct eel_server *server)
+{
+  const struct eel_conn *conn;
+
+  for (conn = server->conns; conn != NULL; conn = conn->next)
+    if (conn->count > 0
+        || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+      return 0;
+  return 1;
+}
+
+/* Closes connections that carry no request and have nothing to send. */
 void
 eel_server_close_idle (struct eel_server *server)
 {
@@ -107,7 +125,8 @@
     {
       struct eel_conn *next = conn->next;
 
-      if (conn->count == 0 && !conn->reader.started)
+      if (conn->count == 0 && !conn->reader.started && !conn->lingering
+          && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
         eel_conn_close (conn);
       conn = next;
     }
