--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -14,6 +14,8 @@
 #define BODY_PENDING_MAX 262144
 /* When the route's settings are missing. */
 #define FIRST_RETRY_AFTER_US (300 * EEL_US_PER_MS)
+/* Other nodes take the request at once. */
+#define LEAVING_RETRY_AFTER_US (10 * EEL_US_PER_MS)
 
 /* Frees an entry; what runs is cancelled. */
 void
@@ -32,21 +34,36 @@
   free (entry);
 }
 
-static void
-on_deadline (evutil_socket_t fd, short what, void *data)
+/* Ends a request whose time is over; an answer that has begun is broken off. */
+void
+eel_entry_end (struct eel_entry *entry)
 {
-  struct eel_entry *entry = data;
+  struct eel_exchange *exchange = entry->exchange;
 
-  (void)fd;
-  (void)what;
   if (entry->committed)
-    return;
+    {
+      eel_entry_free (entry);
+      eel_exchange_abort (exchange);
+      return;
+    }
   if (entry->attempt != NULL && eel_attempt_may_have_run (entry->attempt))
     entry->may_have_run = 1;
   eel_entry_answer_error (entry, entry->may_have_run ? EEL_ERROR_OUTCOME_UNKNOWN
                                                      : EEL_ERROR_OVERLOADED);
 }
 
+/* An answer that has begun goes on past the deadline. */
+static void
+on_deadline (evutil_socket_t fd, short what, void *data)
+{
+  struct eel_entry *entry = data;
+
+  (void)fd;
+  (void)what;
+  if (!entry->committed)
+    eel_entry_end (entry);
+}
+
 static int
 start_deadline (struct eel_entry *entry)
 {
@@ -77,6 +94,14 @@
   return limit_us < route->timeout_us ? limit_us : route->timeout_us;
 }
 
+/* A call of the own endpoint comes from this VM. */
+static int
+is_nested (const struct eel_relay *relay, const struct eel_exchange *exchange)
+{
+  return eel_exchange_peer (exchange).sin_addr.s_addr
+         == relay->config.ip.s_addr;
+}
+
 static struct eel_entry *
 entry_new (struct eel_exchange *exchange, struct eel_route *route)
 {
@@ -98,8 +123,7 @@
     .caller_service = relay->config.service,
     .service = eel_route_split (route),
     .rank = route->rank,
-    .nested
-    = eel_exchange_peer (exchange).sin_addr.s_addr == relay->config.ip.s_addr,
+    .nested = (uint8_t)is_nested (relay, exchange),
     .idempotent = route->idempotent,
     .target_us = now_us + route->target_us,
     .deadline_us
@@ -124,6 +148,11 @@
       eel_entry_refuse (exchange, EEL_ERROR_NO_ENDPOINT, FIRST_RETRY_AFTER_US);
       return NULL;
     }
+  if (relay->refusing && !is_nested (relay, exchange))
+    {
+      eel_entry_refuse (exchange, EEL_ERROR_LEAVING, LEAVING_RETRY_AFTER_US);
+      return NULL;
+    }
   route = eel_route_table_find (relay->routes, host,
                                 eel_head_target (&exchange->request));
   if (route == NULL)
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -46,6 +46,8 @@
 void eel_entry_next (struct eel_entry *entry, enum eel_error if_none);
 /* Ends the request with an answer of this node; frees the entry. */
 void eel_entry_answer_error (struct eel_entry *entry, enum eel_error error);
+/* Ends a request whose time is over: not run, or outcome unknown. */
+void eel_entry_end (struct eel_entry *entry);
 /* Answers an exchange that has no entry. */
 void eel_entry_refuse (struct eel_exchange *exchange,
                        enum eel_error error,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -7,6 +7,7 @@
 
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/entry.h"
 
 #define INSTANCES_MAX 4096
 /* Slots of an endpoint that the registry has not shown yet. */
@@ -176,6 +177,26 @@
   relay->peers.closing = 1;
 }
 
+/* Sends callers to other nodes. */
+void
+eel_relay_refuse_new (struct eel_relay *relay)
+{
+  relay->refusing = 1;
+}
+
+static void
+end_open (struct eel_exchange *exchange)
+{
+  eel_entry_end (exchange->state);
+}
+
+/* Ends what is open, so that no caller is left without an answer. */
+void
+eel_relay_end_open (struct eel_relay *relay)
+{
+  eel_server_each_open (&relay->callers, end_open);
+}
+
 /* True when no request is in flight. */
 int
 eel_relay_is_idle (const struct eel_relay *relay)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -87,6 +87,8 @@
   GHashTable *links;
   struct event *tick;
   uint8_t stopping;
+  /* Late in a planned stop: callers are told to come back elsewhere. */
+  uint8_t refusing;
   /* The newest published revision here and at the peers that were met. */
   uint64_t revision;
   uint64_t peer_revision;
@@ -106,6 +108,10 @@
 void eel_relay_endpoints_changed (struct eel_relay *relay);
 /* Planned stop: peers send their requests elsewhere. */
 void eel_relay_stop (struct eel_relay *relay);
+/* Takes no more requests of callers; calls of the own endpoint go on. */
+void eel_relay_refuse_new (struct eel_relay *relay);
+/* Answers every open request of a caller: come back, or outcome unknown. */
+void eel_relay_end_open (struct eel_relay *relay);
 /* Nothing is in flight any more. */
 int eel_relay_is_idle (const struct eel_relay *relay);
 struct eel_pool *eel_relay_pool (struct eel_relay *relay, uint32_t ip);
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -102,6 +102,28 @@
     }
 }
 
+static struct eel_exchange *
+first_open (const struct eel_server *server)
+{
+  for (struct eel_conn *conn = server->conns; conn != NULL; conn = conn->next)
+    for (struct eel_exchange *exchange = conn->first; exchange != NULL;
+         exchange = exchange->next)
+      if (exchange->state != NULL)
+        return exchange;
+  return NULL;
+}
+
+/* Ends every open exchange. */
+void
+eel_server_each_open (struct eel_server *server,
+                      void (*end) (struct eel_exchange *exchange))
+{
+  struct eel_exchange *exchange;
+
+  while ((exchange = first_open (server)) != NULL)
+    end (exchange);
+}
+
 /* True when no request is open and every answer has left this process. */
 int
 eel_server_is_idle (const struct eel_server *server)
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -79,6 +79,9 @@
 void eel_server_finish (struct eel_server *server);
 /* Closes connections that are idle or late with a head. */
 void eel_server_sweep (struct eel_server *server, int64_t now_us);
+/* Calls end for each exchange that waits for its answer; end answers it. */
+void eel_server_each_open (struct eel_server *server,
+                           void (*end) (struct eel_exchange *exchange));
 int eel_server_is_idle (const struct eel_server *server);
 /* Closes connections without a request. */
 void eel_server_close_idle (struct eel_server *server);
