--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -10,10 +10,10 @@
  * requests for the endpoint pass here, so the count of those that run is
  * exact and the endpoint itself never queues.
  *
- * Answers the load in which more arrives than the slots can run: calls of
- * requests that run already go first, then the more important rank, then
- * what can still be in time, by its target; what cannot be served in time is
- * refused when it arrives, before it costs anything.
+ * Answers the load in which more arrives than the slots can run: the more
+ * important rank goes first, then what can still be in time, by its target;
+ * what cannot be served in time is refused when it arrives, before it costs
+ * anything.
  */
 
 #define EEL_GATE_QUEUE_MAX 512
@@ -21,8 +21,6 @@
 struct eel_gate_item
 {
   uint8_t rank;
-  /* Made by an endpoint for a request that is running. */
-  uint8_t nested;
   int64_t arrived_us;
   /* Answers until then are in time; later ones until the deadline count less. */
   int64_t target_us;
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -64,8 +64,6 @@
   int a_late = a->target_us < end_us;
   int b_late = b->target_us < end_us;
 
-  if (a->nested != b->nested)
-    return a->nested;
   if (a->rank != b->rank)
     return a->rank < b->rank;
   if (a_late != b_late)
@@ -86,7 +84,7 @@
                  const struct eel_gate_item *item,
                  int64_t now_us)
 {
-  int64_t limit_us = item->nested || item->rank == 0 ? item->deadline_us
+  int64_t limit_us = item->rank == 0 ? item->deadline_us
                                                      : item->target_us;
 
   return (limit_us - now_us - (int64_t)gate->hold_us) * WAIT_PERCENT / 100;
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -180,8 +180,8 @@
                          work->instance_id);
   if (to_peer)
     evbuffer_add_printf (
-        out, "%s: %s %u %u %u %" PRId64 " %" PRIu64 "\r\n", EEL_RELAY_CALL,
-        attempt->relay->names.names[work->service], work->rank, work->nested,
+        out, "%s: %s %u %u %" PRId64 " %" PRIu64 "\r\n", EEL_RELAY_CALL,
+        attempt->relay->names.names[work->service], work->rank,
         work->idempotent, (work->target_us - now_us) / EEL_US_PER_MS,
         attempt->relay->revision);
   eel_head_write_framing (work->request->framing, work->request->length_bytes,
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -55,7 +55,6 @@
   const char *instance_id;
   uint16_t service;
   uint8_t rank;
-  uint8_t nested;
   uint8_t idempotent;
   int64_t target_us;
   int64_t deadline_us;
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -200,7 +200,6 @@
 {
   const struct eel_work *work = &attempt->work;
   const struct eel_gate_item item = { .rank = work->rank,
-                                      .nested = work->nested,
                                       .arrived_us = attempt->started_us,
                                       .target_us = work->target_us,
                                       .deadline_us = work->deadline_us,
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -94,14 +94,6 @@
   return limit_us < route->timeout_us ? limit_us : route->timeout_us;
 }
 
-/* A call of the own endpoint comes from this VM. */
-static int
-is_nested (const struct eel_relay *relay, const struct eel_exchange *exchange)
-{
-  return eel_exchange_peer (exchange).sin_addr.s_addr
-         == relay->config.ip.s_addr;
-}
-
 static struct eel_entry *
 entry_new (struct eel_exchange *exchange, struct eel_route *route)
 {
@@ -123,7 +115,6 @@
     .caller_service = relay->config.service,
     .service = eel_route_split (route),
     .rank = route->rank,
-    .nested = (uint8_t)is_nested (relay, exchange),
     .idempotent = route->idempotent,
     .target_us = now_us + route->target_us,
     .deadline_us
@@ -148,7 +139,7 @@
       eel_entry_refuse (exchange, EEL_ERROR_NO_ENDPOINT, FIRST_RETRY_AFTER_US);
       return NULL;
     }
-  if (relay->refusing && !is_nested (relay, exchange))
+  if (relay->refusing)
     {
       eel_entry_refuse (exchange, EEL_ERROR_LEAVING, LEAVING_RETRY_AFTER_US);
       return NULL;
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -73,12 +73,12 @@
                                 : relay->counters.failed,
                   1);
   g_message ("event=not_served request=%s error=%s status=%u service=%s "
-             "rank=%u nested=%u tried=%u arrivals=%u may_have_run=%u "
+             "rank=%u tried=%u arrivals=%u may_have_run=%u "
              "after_ms=%" PRId64 " left_ms=%" PRId64,
              entry->work.request_id != NULL ? entry->work.request_id : "-",
              eel_error_info (told)->name, status,
              relay->names.names[entry->work.service], entry->work.rank,
-             entry->work.nested, entry->tried_count, entry->arrivals,
+             entry->tried_count, entry->arrivals,
              entry->may_have_run, (now_us - entry->arrived_us) / EEL_US_PER_MS,
              (entry->work.deadline_us - now_us) / EEL_US_PER_MS);
   eel_entry_free (entry);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -163,16 +163,15 @@
   const char *remaining = eel_head_get (request, words->remaining_ms);
   char service[EEL_SERVICE_MAX];
   unsigned rank;
-  unsigned nested;
   unsigned idempotent;
   long target_ms;
   uint64_t revision;
   int64_t now_us = eel_clock_us ();
 
   if (call == NULL || remaining == NULL
-      || sscanf (call, "%63s %u %u %u %ld %" SCNu64, service, &rank,
-                 &nested, &idempotent, &target_ms, &revision)
-             != 6)
+      || sscanf (call, "%63s %u %u %ld %" SCNu64, service, &rank,
+                 &idempotent, &target_ms, &revision)
+             != 5)
     return 0;
   if (revision > relay->peer_revision)
     relay->peer_revision = revision;
@@ -182,7 +181,6 @@
   work->instance_id = eel_head_get (request, words->expected_instance);
   work->service = eel_service_number (&relay->names, service);
   work->rank = (uint8_t)rank;
-  work->nested = (uint8_t)(nested != 0);
   work->idempotent = (uint8_t)(idempotent != 0);
   work->target_us = now_us + target_ms * EEL_US_PER_MS;
   work->deadline_us = now_us + strtoll (remaining, NULL, 10) * EEL_US_PER_MS;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -108,7 +108,7 @@
 void eel_relay_endpoints_changed (struct eel_relay *relay);
 /* Planned stop: peers send their requests elsewhere. */
 void eel_relay_stop (struct eel_relay *relay);
-/* Takes no more requests of callers; calls of the own endpoint go on. */
+/* Takes no more requests. */
 void eel_relay_refuse_new (struct eel_relay *relay);
 /* Answers every open request of a caller: come back, or outcome unknown. */
 void eel_relay_end_open (struct eel_relay *relay);
