--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -71,4 +71,7 @@
 /* Use of the limit in thousandths; above 1000 requests wait. */
 uint32_t eel_gate_use_milli (struct eel_gate *gate, int64_t now_us);
 
+/* Expected wait of a request of the least importance that arrives now. */
+int64_t eel_gate_wait_us (const struct eel_gate *gate);
+
 #endif
--- /dev/null
+++ b/src/admission/call_costs.c
@@ -0,0 +1,164 @@
+#include "eelgrasslatch/call_costs.h"
+
+#include <string.h>
+
+#include "eelgrasslatch/types.h"
+
+/* Long enough for a run to make its first calls. */
+#define INTERVAL_US (200 * EEL_US_PER_MS)
+/* Weight of an interval against the one after it: about ten seconds. */
+#define FORGETTING 0.98
+/* What is not known yet may be anything up to about this many calls. */
+#define FIRST_VARIANCE 10.0
+/* Keeps the estimate mobile but finite while little runs. */
+#define VARIANCE_MAX 100.0
+
+/* Prepares an estimate that knows nothing. */
+void
+eel_call_costs_init (struct eel_call_costs *costs)
+{
+  memset (costs, 0, sizeof *costs);
+  for (uint32_t i = 0; i < EEL_CALL_COSTS_RUNS_MAX; i++)
+    costs->covariance[i][i] = FIRST_VARIANCE;
+}
+
+/* Counts a run; routes beyond the bound aren't learned. */
+void
+eel_call_costs_ran (struct eel_call_costs *costs, uint64_t route)
+{
+  uint32_t i = 0;
+
+  while (i < costs->run_count && costs->runs[i].route != route)
+    i++;
+  if (i == EEL_CALL_COSTS_RUNS_MAX)
+    return;
+  if (i == costs->run_count)
+    costs->runs[costs->run_count++].route = route;
+  costs->runs[i].now++;
+}
+
+/* Counts a request from this VM; routes beyond the bound aren't learned. */
+void
+eel_call_costs_called (struct eel_call_costs *costs, uint64_t route)
+{
+  uint32_t i = 0;
+
+  while (i < costs->call_count && costs->calls[i].route != route)
+    i++;
+  if (i == EEL_CALL_COSTS_CALLS_MAX)
+    return;
+  if (i == costs->call_count)
+    costs->calls[costs->call_count++].route = route;
+  costs->calls[i].now++;
+}
+
+/* gain = P x / (forgetting + x' P x); returns 0 when nothing has changed. */
+static int
+compute_gain (const struct eel_call_costs *costs,
+              const double *x,
+              double *gain)
+{
+  uint32_t n = costs->run_count;
+  double scale = FORGETTING;
+  int changed = 0;
+
+  for (uint32_t i = 0; i < n; i++)
+    {
+      gain[i] = 0;
+      for (uint32_t j = 0; j < n; j++)
+        gain[i] += costs->covariance[i][j] * x[j];
+      scale += x[i] * gain[i];
+      changed |= x[i] != 0;
+    }
+  for (uint32_t i = 0; i < n; i++)
+    gain[i] /= scale;
+  return changed;
+}
+
+/* P = (P - gain x' P) / forgetting. */
+static void
+update_covariance (struct eel_call_costs *costs,
+                   const double *x,
+                   const double *gain)
+{
+  uint32_t n = costs->run_count;
+  double row[EEL_CALL_COSTS_RUNS_MAX];
+
+  for (uint32_t j = 0; j < n; j++)
+    {
+      row[j] = 0;
+      for (uint32_t i = 0; i < n; i++)
+        row[j] += x[i] * costs->covariance[i][j];
+    }
+  for (uint32_t i = 0; i < n; i++)
+    for (uint32_t j = 0; j < n; j++)
+      costs->covariance[i][j]
+          = (costs->covariance[i][j] - gain[i] * row[j]) / FORGETTING;
+  for (uint32_t i = 0; i < n; i++)
+    if (costs->covariance[i][i] > VARIANCE_MAX)
+      {
+        memset (costs->covariance, 0, sizeof costs->covariance);
+        for (uint32_t j = 0; j < EEL_CALL_COSTS_RUNS_MAX; j++)
+          costs->covariance[j][j] = FIRST_VARIANCE;
+        return;
+      }
+}
+
+static void
+learn (struct eel_call_costs *costs)
+{
+  double x[EEL_CALL_COSTS_RUNS_MAX];
+  double gain[EEL_CALL_COSTS_RUNS_MAX];
+
+  for (uint32_t i = 0; i < costs->run_count; i++)
+    x[i] = (double)costs->runs[i].now - (double)costs->runs[i].before;
+  if (!compute_gain (costs, x, gain))
+    return;
+  for (uint32_t c = 0; c < costs->call_count; c++)
+    {
+      struct eel_call_costs_call *call = &costs->calls[c];
+      double error = (double)call->now - (double)call->before;
+
+      for (uint32_t i = 0; i < costs->run_count; i++)
+        error -= x[i] * call->per_run[i];
+      for (uint32_t i = 0; i < costs->run_count; i++)
+        call->per_run[i] += gain[i] * error;
+    }
+  update_covariance (costs, x, gain);
+}
+
+/* Ends an interval that is over. */
+void
+eel_call_costs_tick (struct eel_call_costs *costs, int64_t now_us)
+{
+  if (now_us < costs->interval_end_us)
+    return;
+  /* After a pause the numbers say nothing. */
+  if (now_us < costs->interval_end_us + INTERVAL_US)
+    learn (costs);
+  costs->interval_end_us = now_us + INTERVAL_US;
+  for (uint32_t i = 0; i < costs->run_count; i++)
+    {
+      costs->runs[i].before = costs->runs[i].now;
+      costs->runs[i].now = 0;
+    }
+  for (uint32_t c = 0; c < costs->call_count; c++)
+    {
+      costs->calls[c].before = costs->calls[c].now;
+      costs->calls[c].now = 0;
+    }
+}
+
+/* Returns the estimate; 0 for what was never seen. */
+double
+eel_call_costs_per_run (const struct eel_call_costs *costs,
+                        uint64_t run_route,
+                        uint64_t call_route)
+{
+  for (uint32_t i = 0; i < costs->run_count; i++)
+    for (uint32_t c = 0; c < costs->call_count; c++)
+      if (costs->runs[i].route == run_route
+          && costs->calls[c].route == call_route)
+        return costs->calls[c].per_run[i];
+  return 0;
+}
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -78,6 +78,15 @@
   return (int64_t)((ahead + 1) * gate->hold_us / gate->limit);
 }
 
+/* Returns the expected wait at the end of the queue. */
+int64_t
+eel_gate_wait_us (const struct eel_gate *gate)
+{
+  if (gate->running < gate->limit && gate->queued == 0)
+    return 0;
+  return expected_wait_us (gate, gate->queued);
+}
+
 /* The longest wait that an item may expect when it arrives. */
 static int64_t
 allowed_wait_us (const struct eel_gate *gate,
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -180,9 +180,9 @@
                          work->instance_id);
   if (to_peer)
     evbuffer_add_printf (
-        out, "%s: %s %u %u %" PRId64 " %" PRIu64 "\r\n", EEL_RELAY_CALL,
-        attempt->relay->names.names[work->service], work->rank,
-        work->idempotent, (work->target_us - now_us) / EEL_US_PER_MS,
+        out, "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 "\r\n",
+        EEL_RELAY_CALL, attempt->relay->names.names[work->service],
+        work->route, work->rank, work->idempotent, (work->target_us - now_us) / EEL_US_PER_MS,
         attempt->relay->revision);
   eel_head_write_framing (work->request->framing, work->request->length_bytes,
                           out);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -53,6 +53,9 @@
   const char *request_id;
   const char *caller_service;
   const char *instance_id;
+  uint64_t route;
+  /* Of the route; 0 where only the passing node knows it. */
+  int64_t route_target_us;
   uint16_t service;
   uint8_t rank;
   uint8_t idempotent;
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -1,6 +1,7 @@
 #include <event2/buffer.h>
 #include <string.h>
 
+#include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/attempt.h"
 #include "relay/relay.h"
@@ -52,6 +53,21 @@
   relay->actual_until_us = eel_clock_us () + ACTUAL_LIFE_US;
 }
 
+/* The own endpoint's load counts for requests that entered here. */
+static void
+note_own_load (struct eel_attempt *attempt)
+{
+  struct eel_relay_load load;
+
+  if (attempt->work.route_target_us == 0)
+    return;
+  eel_relay_own_load (attempt->relay, attempt->work.route, &load);
+  if (attempt->instance != NULL)
+    eel_place_answered (attempt->instance, load.use_milli, eel_clock_us ());
+  eel_relay_note_load (attempt->relay, attempt->work.route,
+                       attempt->work.route_target_us, &load);
+}
+
 /* The answer that carries another request's id is not ours. */
 static int
 on_head (void *owner, struct eel_head *head)
@@ -71,6 +87,7 @@
                  attempt->work.request_id, head->status);
       return 0;
     }
+  note_own_load (attempt);
   attempt->is_refusal = (uint8_t)not_run;
   attempt->refusal
       = head->status == 421 ? EEL_FAILURE_MISDIRECTED : EEL_FAILURE_SHED;
@@ -163,6 +180,7 @@
       return;
     }
   eel_metric_add (relay->counters.runs, 1);
+  eel_call_costs_ran (&relay->call_costs, attempt->work.route);
   eel_attempt_send_pending (attempt);
 }
 
@@ -172,6 +190,7 @@
 {
   attempt->queued = 0;
   attempt->answer_done = 1;
+  note_own_load (attempt);
   attempt->ops->fail (attempt->owner, EEL_FAILURE_REFUSED, "no slot in time");
 }
 
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -1,5 +1,6 @@
 #include <event2/buffer.h>
-#include <stdlib.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "eelgrasslatch/place.h"
@@ -9,8 +10,6 @@
 
 /* A kept link that was idle for longer may be closing at the other end. */
 #define FRESH_US (8 * EEL_US_PER_S)
-/* A gate refusal says that the endpoint is full. */
-#define FULL_MILLI 1000
 
 static void
 instance_done (struct eel_attempt *attempt)
@@ -20,21 +19,21 @@
   attempt->running = 0;
 }
 
+/* Reads what the endpoint's node says of its load. */
 static void
 note_load (struct eel_attempt *attempt, const struct eel_head *head)
 {
-  struct eel_relay *relay = attempt->relay;
-  const char *load = eel_head_get (head, EEL_RELAY_LOAD);
-  uint64_t revision;
-  char *rest;
+  const char *text = eel_head_get (head, EEL_RELAY_LOAD);
+  struct eel_relay_load load;
 
-  if (load == NULL)
+  if (text == NULL
+      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64, &load.use_milli,
+                 &load.wait_us, &load.below_milli, &load.revision)
+             != 4)
     return;
-  eel_place_answered (attempt->instance, (uint32_t)strtoul (load, &rest, 10),
-                      eel_clock_us ());
-  revision = strtoull (rest, NULL, 10);
-  if (revision > relay->peer_revision)
-    relay->peer_revision = revision;
+  eel_place_answered (attempt->instance, load.use_milli, eel_clock_us ());
+  eel_relay_note_load (attempt->relay, attempt->work.route,
+                       attempt->work.route_target_us, &load);
 }
 
 static int
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -113,6 +113,8 @@
     .request_id
     = eel_head_get (&exchange->request, relay->config.words->request_id),
     .caller_service = relay->config.service,
+    .route = route->id,
+    .route_target_us = route->target_us,
     .service = eel_route_split (route),
     .rank = route->rank,
     .idempotent = route->idempotent,
@@ -167,7 +169,14 @@
       eel_entry_refuse (exchange, EEL_ERROR_OVERLOADED, FIRST_RETRY_AFTER_US);
       return;
     }
+  eel_call_costs_called (&relay->call_costs, route->id);
   eel_retry_budget_success (&relay->budgets[entry->work.service]);
+  if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
+                             entry->arrived_us, &relay->rng))
+    {
+      eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
+      return;
+    }
   eel_entry_next (entry, EEL_ERROR_NO_ENDPOINT);
 }
 
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -41,14 +41,16 @@
 
 /* Lines that tell the passing node the use of the own slots. */
 static struct evbuffer *
-load_lines (struct eel_relay *relay)
+load_lines (struct eel_relay *relay, uint64_t route)
 {
   struct evbuffer *lines = evbuffer_new ();
+  struct eel_relay_load load;
 
+  eel_relay_own_load (relay, route, &load);
   if (lines != NULL)
-    evbuffer_add_printf (
-        lines, "%s: %u %" PRIu64 "\r\n", EEL_RELAY_LOAD,
-        eel_gate_use_milli (&relay->gate, eel_clock_us ()), relay->revision);
+    evbuffer_add_printf (lines, "%s: %u %" PRId64 " %u %" PRIu64 "\r\n",
+                         EEL_RELAY_LOAD, load.use_milli, load.wait_us,
+                         load.below_milli, load.revision);
   return lines;
 }
 
@@ -56,9 +58,10 @@
 static void
 refuse (struct eel_relay *relay,
         struct eel_exchange *exchange,
+        uint64_t route,
         enum eel_attempt_failure failure)
 {
-  struct evbuffer *lines = load_lines (relay);
+  struct evbuffer *lines = load_lines (relay, route);
 
   if (lines != NULL)
     evbuffer_add_printf (lines, "%s: %s\r\n", EEL_RELAY_REFUSED,
@@ -75,7 +78,7 @@
 {
   const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, NULL };
   struct visit *visit = owner;
-  struct evbuffer *lines = load_lines (visit->relay);
+  struct evbuffer *lines = load_lines (visit->relay, visit->work.route);
 
   if (lines != NULL)
     eel_head_write_fields (head, lines, skip);
@@ -113,6 +116,7 @@
   struct eel_exchange *exchange = visit->exchange;
   struct eel_relay *relay = visit->relay;
   int answered = visit->answered;
+  uint64_t route = visit->work.route;
 
   if (failure != EEL_FAILURE_REFUSED)
     g_message ("event=run_failed request=%s failure=%s reason=\"%s\"",
@@ -122,7 +126,7 @@
   if (answered)
     eel_exchange_abort (exchange);
   else
-    refuse (relay, exchange, failure);
+    refuse (relay, exchange, route, failure);
 }
 
 static void
@@ -169,9 +173,9 @@
   int64_t now_us = eel_clock_us ();
 
   if (call == NULL || remaining == NULL
-      || sscanf (call, "%63s %u %u %ld %" SCNu64, service, &rank,
-                 &idempotent, &target_ms, &revision)
-             != 5)
+      || sscanf (call, "%63s %" SCNx64 " %u %u %ld %" SCNu64, service,
+                 &work->route, &rank, &idempotent, &target_ms, &revision)
+             != 6)
     return 0;
   if (revision > relay->peer_revision)
     relay->peer_revision = revision;
@@ -211,13 +215,13 @@
 
   if (relay->stopping)
     {
-      refuse (relay, exchange, EEL_FAILURE_LEAVING);
+      refuse (relay, exchange, 0, EEL_FAILURE_LEAVING);
       return;
     }
   visit = calloc (1, sizeof *visit);
   if (visit == NULL)
     {
-      refuse (relay, exchange, EEL_FAILURE_REFUSED);
+      refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
   visit->relay = relay;
@@ -227,7 +231,7 @@
       || !start_deadline (visit))
     {
       visit_free (visit);
-      refuse (relay, exchange, EEL_FAILURE_REFUSED);
+      refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
   visit->attempt
@@ -235,7 +239,7 @@
   if (visit->attempt == NULL)
     {
       visit_free (visit);
-      refuse (relay, exchange, EEL_FAILURE_REFUSED);
+      refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
   eel_attempt_start (visit->attempt);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -33,6 +33,25 @@
   eel_pool_sweep (value, *(int64_t *)data);
 }
 
+/* One line a second while requests run, for reading a day afterwards. */
+static void
+log_load (struct eel_relay *relay, int64_t now_us)
+{
+  struct eel_gate *gate = &relay->gate;
+
+  if (now_us < relay->load_logged_us + EEL_US_PER_S
+      || gate->started == relay->load_logged_started)
+    return;
+  g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
+             "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+             " callers=%u links=%u",
+             gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
+             gate->started - relay->load_logged_started, gate->refused,
+             relay->callers.exchange_count, relay->endpoint.open_count);
+  relay->load_logged_us = now_us;
+  relay->load_logged_started = gate->started;
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *data)
 {
@@ -42,11 +61,13 @@
   (void)fd;
   (void)what;
   eel_directory_tick (&relay->directory, now_us);
+  eel_call_costs_tick (&relay->call_costs, now_us);
   eel_server_sweep (&relay->callers, now_us);
   eel_server_sweep (&relay->peers, now_us);
   eel_pool_sweep (&relay->endpoint, now_us);
   g_hash_table_foreach (relay->links, sweep_pool, &now_us);
   eel_relay_pump (relay);
+  log_load (relay, now_us);
 }
 
 static void
@@ -99,6 +120,8 @@
   eel_service_names_init (&relay->names);
   relay->service = eel_service_number (&relay->names, config->service);
   eel_gate_init (&relay->gate, FIRST_SLOTS);
+  eel_entry_gate_init (&relay->entry_gate);
+  eel_call_costs_init (&relay->call_costs);
   init_budgets (relay);
   init_counters (&relay->counters, metrics);
   eel_pool_init (&relay->endpoint, base, &config->endpoint);
@@ -146,6 +169,10 @@
       free (relay->routes);
     }
   relay->routes = routes;
+  relay->entry_gate.last_rank = 0;
+  for (uint32_t i = 0; i < routes->count; i++)
+    if (routes->routes[i].rank > relay->entry_gate.last_rank)
+      relay->entry_gate.last_rank = routes->routes[i].rank;
   relay->callers.limits = *limits;
 }
 
@@ -224,6 +251,38 @@
   return pool;
 }
 
+/* Describes the own slots and the services that the route's runs call. */
+void
+eel_relay_own_load (struct eel_relay *relay,
+                    uint64_t route,
+                    struct eel_relay_load *load)
+{
+  int64_t now_us = eel_clock_us ();
+
+  load->use_milli = eel_gate_use_milli (&relay->gate, now_us);
+  load->wait_us = eel_gate_wait_us (&relay->gate);
+  load->below_milli = (uint32_t)eel_entry_gate_below (
+      &relay->entry_gate, &relay->call_costs, route, now_us);
+  load->revision = relay->revision;
+}
+
+/* Takes the greater of the pressures at the service and below it. */
+void
+eel_relay_note_load (struct eel_relay *relay,
+                     uint64_t route,
+                     int64_t target_us,
+                     const struct eel_relay_load *load)
+{
+  double pressure = load->below_milli;
+
+  if (target_us > 0
+      && (double)load->wait_us * 1000 / (double)target_us > pressure)
+    pressure = (double)load->wait_us * 1000 / (double)target_us;
+  eel_entry_gate_report (&relay->entry_gate, route, pressure, eel_clock_us ());
+  if (load->revision > relay->peer_revision)
+    relay->peer_revision = load->revision;
+}
+
 /* Starts queued requests and refuses those that have waited too long. */
 void
 eel_relay_pump (struct eel_relay *relay)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "eelgrasslatch/directory.h"
+#include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/gate.h"
 #include "eelgrasslatch/retry.h"
 #include "eelgrasslatch/rng.h"
@@ -65,6 +66,16 @@
   struct eel_metric *hold;
 };
 
+/* What the node beside an endpoint says of its load with each answer. */
+struct eel_relay_load
+{
+  uint32_t use_milli;
+  int64_t wait_us;
+  /* Pressure at services below, for requests of the same route. */
+  uint32_t below_milli;
+  uint64_t revision;
+};
+
 struct eel_relay
 {
   struct event_base *base;
@@ -76,6 +87,8 @@
   struct eel_route_table *routes;
   struct eel_directory directory;
   struct eel_gate gate;
+  struct eel_entry_gate entry_gate;
+  struct eel_call_costs call_costs;
   struct eel_retry_budget budgets[EEL_SERVICE_NAMES_MAX];
   struct eel_server callers;
   struct eel_server peers;
@@ -92,6 +105,8 @@
   /* The newest published revision here and at the peers that were met. */
   uint64_t revision;
   uint64_t peer_revision;
+  int64_t load_logged_us;
+  uint64_t load_logged_started;
   struct eel_relay_counters counters;
 };
 
@@ -117,6 +132,15 @@
 struct eel_pool *eel_relay_pool (struct eel_relay *relay, uint32_t ip);
 /* The own endpoint, as the directory lists it; NULL when it doesn't. */
 struct eel_instance *eel_relay_own_instance (struct eel_relay *relay);
+/* The own load, as a request of that route meets it. */
+void eel_relay_own_load (struct eel_relay *relay,
+                         uint64_t route,
+                         struct eel_relay_load *load);
+/* Takes what an answer said; target_us is that of the route. */
+void eel_relay_note_load (struct eel_relay *relay,
+                          uint64_t route,
+                          int64_t target_us,
+                          const struct eel_relay_load *load);
 /* Starts queued requests as far as slots are free. */
 void eel_relay_pump (struct eel_relay *relay);
 
