--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -48,6 +48,8 @@
   /* Avoided until then; grows with failures in a row. */
   int64_t avoid_until_us;
   uint32_t failures;
+  /* Share of requests that the endpoint itself refused lately. */
+  double shed_rate;
 };
 
 struct eel_directory
--- a/include/eelgrasslatch/entry_gate.h
+++ b/include/eelgrasslatch/entry_gate.h
@@ -53,6 +53,9 @@
 double eel_entry_gate_pressure (const struct eel_entry_gate *gate,
                                 uint64_t route,
                                 int64_t now_us);
+/* Share of the route's requests that is refused at this moment. */
+double eel_entry_gate_refuse (const struct eel_entry_gate *gate,
+                              uint64_t route);
 /* The greatest pressure on routes that runs of a route are known to call. */
 double eel_entry_gate_below (const struct eel_entry_gate *gate,
                              const struct eel_call_costs *costs,
--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -22,7 +22,8 @@
 {
   uint8_t rank;
   int64_t arrived_us;
-  /* Answers until then are in time; later ones until the deadline count less. */
+  /* Answers until then are in time; later ones until the deadline count less.
+   */
   int64_t target_us;
   int64_t deadline_us;
   void *owner;
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -35,6 +35,7 @@
 void eel_place_answered (struct eel_instance *instance,
                          uint32_t use_milli,
                          int64_t now_us);
+void eel_place_shed (struct eel_instance *instance);
 /* The node or its endpoint couldn't be reached, or broke off. */
 void eel_place_failed (struct eel_instance *instance, int64_t now_us);
 /* Ends a request that was counted by sent. */
--- a/include/eelgrasslatch/published.h
+++ b/include/eelgrasslatch/published.h
@@ -51,8 +51,6 @@
  */
 void eel_published_begin_listing (struct eel_published *published,
                                   const char *prefix);
-struct eel_published_item *
-eel_published_next_missing (struct eel_published *published,
-                            const char *prefix,
-                            uint64_t revision);
+struct eel_published_item *eel_published_next_missing (
+    struct eel_published *published, const char *prefix, uint64_t revision);
 #endif
--- a/src/admission/call_costs.c
+++ b/src/admission/call_costs.c
@@ -54,9 +54,7 @@
 
 /* gain = P x / (forgetting + x' P x); returns 0 when nothing has changed. */
 static int
-compute_gain (const struct eel_call_costs *costs,
-              const double *x,
-              double *gain)
+compute_gain (const struct eel_call_costs *costs, const double *x, double *gain)
 {
   uint32_t n = costs->run_count;
   double scale = FORGETTING;
--- a/src/admission/entry_gate.c
+++ b/src/admission/entry_gate.c
@@ -7,7 +7,7 @@
 #include "eelgrasslatch/types.h"
 
 /* Wait at one service that the least important rank may cause. */
-#define LAST_RANK_MILLI 100.0
+#define LAST_RANK_MILLI 300.0
 /* Each more important rank may cause so much more. */
 #define RANK_FACTOR 2.5
 /* Refused share gained in a second at twice the allowed pressure. */
@@ -91,6 +91,15 @@
   return state->pressure_milli;
 }
 
+/* Returns the refused share of a route. */
+double
+eel_entry_gate_refuse (const struct eel_entry_gate *gate, uint64_t route)
+{
+  const struct eel_entry_gate_route *state = find (gate, route);
+
+  return state == NULL ? 0 : state->refuse;
+}
+
 /* Returns the greatest pressure on the routes that a run calls. */
 double
 eel_entry_gate_below (const struct eel_entry_gate *gate,
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -93,8 +93,7 @@
                  const struct eel_gate_item *item,
                  int64_t now_us)
 {
-  int64_t limit_us = item->rank == 0 ? item->deadline_us
-                                                     : item->target_us;
+  int64_t limit_us = item->rank == 0 ? item->deadline_us : item->target_us;
 
   return (limit_us - now_us - (int64_t)gate->hold_us) * WAIT_PERCENT / 100;
 }
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -8,8 +8,8 @@
                     struct eel_instance *instances,
                     uint32_t capacity)
 {
-  *directory = (struct eel_directory){ .instances = instances,
-                                       .capacity = capacity };
+  *directory
+      = (struct eel_directory){ .instances = instances, .capacity = capacity };
 }
 
 /* Returns the entry of an id, also when it is gone; NULL: never seen. */
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -9,8 +9,7 @@
                     struct eel_published_item *items,
                     uint32_t capacity)
 {
-  *published
-      = (struct eel_published){ .items = items, .capacity = capacity };
+  *published = (struct eel_published){ .items = items, .capacity = capacity };
 }
 
 /* Frees the copies. */
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -55,10 +55,9 @@
   attempt->ops = ops;
   attempt->owner = owner;
   attempt->started_us = eel_clock_us ();
-  attempt->kind
-      = instance == NULL || instance->ip == relay->config.ip.s_addr
-            ? &eel_attempt_local
-            : &eel_attempt_remote;
+  attempt->kind = instance == NULL || instance->ip == relay->config.ip.s_addr
+                      ? &eel_attempt_local
+                      : &eel_attempt_remote;
   return attempt;
 }
 
@@ -120,7 +119,8 @@
   return bytes;
 }
 
-/* True once bytes may have reached an endpoint, or its node, that may run it. */
+/* True once bytes may have reached an endpoint, or its node, that may run it.
+ */
 int
 eel_attempt_may_have_run (const struct eel_attempt *attempt)
 {
@@ -161,11 +161,13 @@
 {
   const struct eel_work *work = &attempt->work;
   const struct eel_relay_words *words = attempt->relay->config.words;
-  const char *const skip[]
-      = { words->remaining_ms,   words->expected_instance,
-          words->caller_service, EEL_RELAY_CALL,
-          EEL_RELAY_LOAD,        EEL_RELAY_REFUSED,
-          NULL };
+  const char *const skip[] = { words->remaining_ms,
+                               words->expected_instance,
+                               words->caller_service,
+                               EEL_RELAY_CALL,
+                               EEL_RELAY_LOAD,
+                               EEL_RELAY_REFUSED,
+                               NULL };
   int64_t now_us = eel_clock_us ();
 
   evbuffer_add_printf (out, "%s %s HTTP/1.1\r\n", work->request->method,
@@ -181,9 +183,9 @@
   if (to_peer)
     evbuffer_add_printf (
         out, "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 "\r\n",
-        EEL_RELAY_CALL, attempt->relay->names.names[work->service],
-        work->route, work->rank, work->idempotent, (work->target_us - now_us) / EEL_US_PER_MS,
-        attempt->relay->revision);
+        EEL_RELAY_CALL, attempt->relay->names.names[work->service], work->route,
+        work->rank, work->idempotent,
+        (work->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision);
   eel_head_write_framing (work->request->framing, work->request->length_bytes,
                           out);
   evbuffer_add (out, "\r\n", 2);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -101,9 +101,8 @@
                                      void *owner);
 /* The body that is known goes first; callbacks may come before the return. */
 void eel_attempt_start (struct eel_attempt *attempt);
-void eel_attempt_body (struct eel_attempt *attempt,
-                       const void *data,
-                       size_t bytes);
+void
+eel_attempt_body (struct eel_attempt *attempt, const void *data, size_t bytes);
 void eel_attempt_body_end (struct eel_attempt *attempt);
 /* Bytes of the request's body that have not left. */
 size_t eel_attempt_pending_bytes (const struct eel_attempt *attempt);
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -75,8 +75,8 @@
   struct eel_attempt *attempt = owner;
   const struct eel_relay_words *words = attempt->relay->config.words;
   const char *id = eel_head_get (head, words->request_id);
-  int not_run = eel_head_get (head, words->not_executed) != NULL
-                || head->status == 421;
+  int not_run
+      = eel_head_get (head, words->not_executed) != NULL || head->status == 421;
 
   if (id != NULL && attempt->work.request_id != NULL
       && strcmp (id, attempt->work.request_id) != 0)
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -68,11 +68,10 @@
 start_deadline (struct eel_entry *entry)
 {
   int64_t left_us = entry->work.deadline_us - entry->arrived_us;
-  struct timeval left = { .tv_sec = left_us / EEL_US_PER_S,
-                          .tv_usec = left_us % EEL_US_PER_S };
+  struct timeval left
+      = { .tv_sec = left_us / EEL_US_PER_S, .tv_usec = left_us % EEL_US_PER_S };
 
-  entry->deadline
-      = event_new (entry->relay->base, -1, 0, on_deadline, entry);
+  entry->deadline = event_new (entry->relay->base, -1, 0, on_deadline, entry);
   return entry->deadline != NULL && event_add (entry->deadline, &left) == 0;
 }
 
@@ -119,8 +118,7 @@
     .rank = route->rank,
     .idempotent = route->idempotent,
     .target_us = now_us + route->target_us,
-    .deadline_us
-    = now_us + time_limit_us (relay, &exchange->request, route),
+    .deadline_us = now_us + time_limit_us (relay, &exchange->request, route),
   };
   exchange->state = entry;
   if (entry->replay != NULL && start_deadline (entry))
@@ -170,7 +168,8 @@
       return;
     }
   eel_call_costs_called (&relay->call_costs, route->id);
-  eel_retry_budget_success (&relay->budgets[entry->work.service]);
+  eel_retry_share_request (&relay->retries[entry->work.service],
+                           entry->arrived_us);
   if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
                              entry->arrived_us, &relay->rng))
     {
@@ -256,9 +255,9 @@
     eel_attempt_body_end (entry->attempt);
 }
 
-/* Offers the request to the best endpoint that it has not been offered to. */
-void
-eel_entry_next (struct eel_entry *entry, enum eel_error if_none)
+/* Returns the endpoint to try next, or NULL when none is left. */
+static struct eel_instance *
+next_instance (struct eel_entry *entry)
 {
   struct eel_relay *relay = entry->relay;
   const struct eel_place_query query = { .service = entry->work.service,
@@ -266,15 +265,32 @@
                                          .tried_count = entry->tried_count };
   struct eel_instance *instance = NULL;
 
-  if (entry->tried_count < EEL_ENTRY_TRIES_MAX && entry->replay != NULL)
+  if (entry->replay == NULL || entry->tried_count == EEL_ENTRY_TRIES_MAX)
+    return NULL;
+  if (entry->arrivals < entry->attempts_max)
     instance = eel_place_pick (&relay->directory, &query, eel_clock_us (),
                                &relay->rng);
+  /* One that sheds a share of all requests may take this one next time. */
+  if (instance == NULL && entry->shed_by != NULL
+      && eel_instance_usable (entry->shed_by))
+    instance = entry->shed_by;
+  return instance;
+}
+
+/* Offers the request to the best endpoint that it has not been offered to. */
+void
+eel_entry_next (struct eel_entry *entry, enum eel_error if_none)
+{
+  struct eel_relay *relay = entry->relay;
+  struct eel_instance *instance = next_instance (entry);
+
   if (instance == NULL)
     {
       eel_entry_answer_error (entry, if_none);
       return;
     }
   entry->tried[entry->tried_count++] = instance->id;
+  entry->instance = instance;
   entry->work.instance_id = instance->id;
   eel_attempt_free (entry->attempt);
   entry->attempt = eel_attempt_new (relay, &entry->work, instance,
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -25,6 +25,9 @@
   uint8_t arrivals;
   /* An endpoint may have run it: no answer may say that it hasn't. */
   uint8_t may_have_run;
+  /* The present endpoint, and the last one that shed the request. */
+  struct eel_instance *instance;
+  struct eel_instance *shed_by;
   const char *tried[EEL_ENTRY_TRIES_MAX];
   uint8_t tried_count;
   /* Body so far, for another attempt; NULL when it was too long. */
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -2,6 +2,7 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/entry.h"
 
@@ -11,6 +12,12 @@
 #define ANSWER_PENDING_MAX 262144
 /* Share of the route's target after which a refused caller may return. */
 #define RETRY_AFTER_PERCENT 30
+/* A repeated run repeats its calls at other services too. */
+#define RERUN_COST_MILLI 3000
+/* An endpoint that sheds is full, whatever its node counts. */
+#define SHED_PRESSURE_MILLI 2000.0
+/* The longer an overload is likely to last, the later callers return. */
+#define RETRY_AFTER_STRETCH 4.0
 #define RETRY_AFTER_LEAST_US (100 * EEL_US_PER_MS)
 
 /* Answers an exchange with an error kind and no body. */
@@ -37,7 +44,10 @@
 retry_after_us (struct eel_entry *entry)
 {
   int64_t target_us = entry->work.target_us - entry->arrived_us;
-  int64_t base_us = target_us * RETRY_AFTER_PERCENT / 100;
+  double refuse
+      = eel_entry_gate_refuse (&entry->relay->entry_gate, entry->work.route);
+  int64_t base_us = (int64_t)((double)target_us * RETRY_AFTER_PERCENT / 100
+                              * (1 + RETRY_AFTER_STRETCH * refuse));
   int64_t left_us = entry->work.deadline_us - eel_clock_us ();
 
   base_us = base_us / 2
@@ -69,17 +79,16 @@
   int64_t now_us = eel_clock_us ();
   int64_t after_us = status == 503 ? retry_after_us (entry) : 0;
 
-  eel_metric_add (status == 503 ? relay->counters.refused
-                                : relay->counters.failed,
-                  1);
+  eel_metric_add (
+      status == 503 ? relay->counters.refused : relay->counters.failed, 1);
   g_message ("event=not_served request=%s error=%s status=%u service=%s "
              "rank=%u tried=%u arrivals=%u may_have_run=%u "
              "after_ms=%" PRId64 " left_ms=%" PRId64,
              entry->work.request_id != NULL ? entry->work.request_id : "-",
              eel_error_info (told)->name, status,
              relay->names.names[entry->work.service], entry->work.rank,
-             entry->tried_count, entry->arrivals,
-             entry->may_have_run, (now_us - entry->arrived_us) / EEL_US_PER_MS,
+             entry->tried_count, entry->arrivals, entry->may_have_run,
+             (now_us - entry->arrived_us) / EEL_US_PER_MS,
              (entry->work.deadline_us - now_us) / EEL_US_PER_MS);
   eel_entry_free (entry);
   eel_entry_refuse (exchange, told, after_us);
@@ -211,38 +220,68 @@
   eel_exchange_end (exchange);
 }
 
-/* True when the request may go to one more endpoint. */
+/* True when the request may reach one more endpoint. */
 static int
-may_retry (struct eel_entry *entry)
+may_retry (struct eel_entry *entry, enum eel_attempt_failure failure)
 {
-  if (entry->arrivals >= entry->attempts_max || entry->replay == NULL
+  uint32_t cost_milli = failure == EEL_FAILURE_BROKEN ? RERUN_COST_MILLI : 1000;
+
+  if (entry->replay == NULL || entry->tried_count == EEL_ENTRY_TRIES_MAX
+      || (failure != EEL_FAILURE_SHED && entry->arrivals >= entry->attempts_max)
       || (entry->may_have_run && !entry->work.idempotent))
     return 0;
-  if (!eel_retry_budget_take (
-          &entry->relay->budgets[entry->work.service], eel_clock_us ()))
+  if (!eel_retry_share_take (&entry->relay->retries[entry->work.service],
+                             cost_milli, eel_clock_us ()))
     return 0;
   eel_metric_add (entry->relay->counters.retries, 1);
   return 1;
 }
 
-static void
-on_fail (void *owner, enum eel_attempt_failure failure, const char *reason)
+static enum eel_error
+failure_error (enum eel_attempt_failure failure)
 {
-  struct eel_entry *entry = owner;
-  int arrived = failure == EEL_FAILURE_SHED || failure == EEL_FAILURE_BROKEN
-                || failure == EEL_FAILURE_MISDIRECTED;
-  enum eel_error error = failure == EEL_FAILURE_REFUSED
-                             ? EEL_ERROR_OVERLOADED
-                             : EEL_ERROR_NO_ENDPOINT;
+  switch (failure)
+    {
+    case EEL_FAILURE_REFUSED:
+      return EEL_ERROR_OVERLOADED;
+    case EEL_FAILURE_SHED:
+      return EEL_ERROR_UPSTREAM_REFUSED;
+    case EEL_FAILURE_BROKEN:
+      return EEL_ERROR_UPSTREAM_FAILED;
+    default:
+      return EEL_ERROR_NO_ENDPOINT;
+    }
+}
+
+/* Counts a failure that reached an endpoint; 1 when it did. */
+static int
+note_arrival (struct eel_entry *entry, enum eel_attempt_failure failure)
+{
+  struct eel_relay *relay = entry->relay;
 
   if (failure == EEL_FAILURE_SHED)
-    error = EEL_ERROR_UPSTREAM_REFUSED;
-  if (failure == EEL_FAILURE_BROKEN)
     {
-      error = EEL_ERROR_UPSTREAM_FAILED;
-      entry->may_have_run = 1;
+      entry->shed_by = entry->instance;
+      eel_place_shed (entry->instance);
+      eel_entry_gate_report (&relay->entry_gate, entry->work.route,
+                             SHED_PRESSURE_MILLI, eel_clock_us ());
     }
-  entry->arrivals = (uint8_t)(entry->arrivals + arrived);
+  if (failure == EEL_FAILURE_BROKEN)
+    entry->may_have_run = 1;
+  if (failure != EEL_FAILURE_SHED && failure != EEL_FAILURE_BROKEN
+      && failure != EEL_FAILURE_MISDIRECTED)
+    return 0;
+  entry->arrivals++;
+  return 1;
+}
+
+static void
+on_fail (void *owner, enum eel_attempt_failure failure, const char *reason)
+{
+  struct eel_entry *entry = owner;
+  int arrived = note_arrival (entry, failure);
+  enum eel_error error = failure_error (failure);
+
   if (failure != EEL_FAILURE_REFUSED)
     g_message ("event=attempt_failed request=%s failure=%s reason=\"%s\" "
                "instance=%s arrivals=%u",
@@ -259,7 +298,7 @@
       return;
     }
   drop_answer (entry);
-  if (arrived && !may_retry (entry))
+  if (arrived && !may_retry (entry, failure))
     eel_entry_answer_error (entry, error);
   else
     eel_entry_next (entry, error);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -202,8 +202,7 @@
     left_us = 0;
   left.tv_sec = left_us / EEL_US_PER_S;
   left.tv_usec = left_us % EEL_US_PER_S;
-  visit->deadline
-      = event_new (visit->relay->base, -1, 0, on_deadline, visit);
+  visit->deadline = event_new (visit->relay->base, -1, 0, on_deadline, visit);
   return visit->deadline != NULL && event_add (visit->deadline, &left) == 0;
 }
 
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -76,8 +76,7 @@
 
   link->ops = NULL;
   if (!link->answer_keeps || !link->request_done || link->had_stray
-      || evbuffer_get_length (output) > 0
-      || evbuffer_get_length (input) > 0)
+      || evbuffer_get_length (output) > 0 || evbuffer_get_length (input) > 0)
     {
       link_close (link);
       return;
@@ -111,9 +110,8 @@
   if (timeout != NULL)
     {
       /* A second is left for the request to arrive. */
-      int64_t limit_us
-          = (strtol (timeout + strlen ("timeout="), NULL, 10) - 1)
-            * EEL_US_PER_S;
+      int64_t limit_us = (strtol (timeout + strlen ("timeout="), NULL, 10) - 1)
+                         * EEL_US_PER_S;
 
       if (limit_us < link->idle_limit_us)
         link->idle_limit_us = limit_us;
@@ -299,8 +297,7 @@
   bufferevent_setwatermark (link->bev, EV_READ, 0, READ_BYTES_MAX);
   bufferevent_set_timeouts (link->bev, NULL, &limit);
   bufferevent_enable (link->bev, EV_READ | EV_WRITE);
-  if (bufferevent_socket_connect (link->bev,
-                                  (struct sockaddr *)&pool->address,
+  if (bufferevent_socket_connect (link->bev, (struct sockaddr *)&pool->address,
                                   sizeof pool->address)
       != 0)
     {
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -112,8 +112,9 @@
 is_hop (const char *name)
 {
   static const char *const names[]
-      = { "connection", "keep-alive", "proxy-connection", "transfer-encoding",
-          "content-length", "te", "trailer", "upgrade", "expect" };
+      = { "connection",        "keep-alive",     "proxy-connection",
+          "transfer-encoding", "content-length", "te",
+          "trailer",           "upgrade",        "expect" };
 
   for (size_t i = 0; i < sizeof names / sizeof *names; i++)
     if (strcasecmp (name, names[i]) == 0)
--- a/src/relay/reader.h
+++ b/src/relay/reader.h
@@ -51,9 +51,8 @@
  * the reader was stopped or the bytes are no HTTP message; error says why.
  * Callbacks must not free the reader.
  */
-long eel_reader_feed (struct eel_reader *reader,
-                      const char *data,
-                      size_t bytes);
+long
+eel_reader_feed (struct eel_reader *reader, const char *data, size_t bytes);
 /* The peer closed its side; 0 when that cut a message short. */
 int eel_reader_eof (struct eel_reader *reader);
 /* Prepares for the next message; the head may have been moved away. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -15,9 +15,6 @@
 #define TICK_US (100 * EEL_US_PER_MS)
 /* Peers on other VMs are given up after this silence. */
 #define PEER_SILENCE_MS 1500
-/* Retries that a node may send at once, and whatever the traffic is. */
-#define RETRY_CAPACITY_MILLI 3000
-#define RETRY_PER_SECOND_MILLI 50
 
 static void
 pool_free (void *data)
@@ -73,8 +70,8 @@
 static void
 init_counters (struct eel_relay_counters *counters, struct eel_metrics *metrics)
 {
-#define COUNTER(field, name, help) \
-  counters->field \
+#define COUNTER(field, name, help)                                             \
+  counters->field                                                              \
       = eel_metrics_get (metrics, EEL_METRIC_COUNTER, name, "", help)
   COUNTER (requests, "eel_relay_requests_total", "Requests of callers.");
   COUNTER (served, "eel_relay_served_total", "Requests with an answer.");
@@ -93,12 +90,14 @@
 }
 
 static void
-init_budgets (struct eel_relay *relay)
+init_retries (struct eel_relay *relay)
 {
+  const struct eel_relay_config *config = &relay->config;
+
   for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX; i++)
-    eel_retry_budget_init (&relay->budgets[i], RETRY_CAPACITY_MILLI,
-                           (int64_t)(relay->config.retry_ratio * 1000),
-                           RETRY_PER_SECOND_MILLI, eel_clock_us ());
+    eel_retry_share_init (&relay->retries[i], config->retry_ratio,
+                          config->retry_extra, config->retry_window_us,
+                          eel_clock_us ());
 }
 
 /* Opens the listeners; 0 when one can't be had. */
@@ -115,14 +114,14 @@
   memset (relay, 0, sizeof *relay);
   relay->base = base;
   relay->config = *config;
-  eel_rng_init (&relay->rng,
-                (uint64_t)eel_clock_us () ^ ((uint64_t)config->ip.s_addr << 32));
+  eel_rng_init (&relay->rng, (uint64_t)eel_clock_us ()
+                                 ^ ((uint64_t)config->ip.s_addr << 32));
   eel_service_names_init (&relay->names);
   relay->service = eel_service_number (&relay->names, config->service);
   eel_gate_init (&relay->gate, FIRST_SLOTS);
   eel_entry_gate_init (&relay->entry_gate);
   eel_call_costs_init (&relay->call_costs);
-  init_budgets (relay);
+  init_retries (relay);
   init_counters (&relay->counters, metrics);
   eel_pool_init (&relay->endpoint, base, &config->endpoint);
   relay->links
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,7 +8,7 @@
 #include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/gate.h"
-#include "eelgrasslatch/retry.h"
+#include "eelgrasslatch/retry_share.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
 #include "internal/metrics.h"
@@ -49,8 +49,11 @@
   struct sockaddr_in callers;
   struct sockaddr_in peers;
   struct sockaddr_in endpoint;
-  /* Arrivals at endpoints beyond the first of each request, as a share. */
+  /* Arrivals at endpoints beyond the first of each request, as a share, and
+     those of a window that this node may add whatever the traffic is. */
   double retry_ratio;
+  double retry_extra;
+  int64_t retry_window_us;
 };
 
 struct eel_relay_counters
@@ -89,7 +92,7 @@
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
   struct eel_call_costs call_costs;
-  struct eel_retry_budget budgets[EEL_SERVICE_NAMES_MAX];
+  struct eel_retry_share retries[EEL_SERVICE_NAMES_MAX];
   struct eel_server callers;
   struct eel_server peers;
   struct eel_pool endpoint;
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -55,9 +55,9 @@
   server->ops = ops;
   server->owner = owner;
   server->max_conns = FIRST_MAX_CONNS;
-  server->limits = (struct eel_server_limits){ FIRST_HEAD_BYTES,
-                                               FIRST_BODY_BYTES, FIRST_HEAD_US,
-                                               FIRST_IDLE_US };
+  server->limits
+      = (struct eel_server_limits){ FIRST_HEAD_BYTES, FIRST_BODY_BYTES,
+                                    FIRST_HEAD_US, FIRST_IDLE_US };
   server->listener = evconnlistener_new_bind (
       base, on_accept, server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       BACKLOG, (const struct sockaddr *)address, sizeof *address);
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -13,6 +13,13 @@
 /* A cold endpoint runs work at about half of its speed. */
 #define COLD_PERCENT 200
 
+/* Weight of one answer in the share of shed requests. */
+#define SHED_WEIGHT 0.1
+/* An endpoint that sheds more than this share loses its domain's preference. */
+#define SHED_RATE_SPILL 0.15
+/* A shed request costs as much as an endpoint that is twice as full. */
+#define SHED_COST 2000.0
+
 static int
 was_tried (const struct eel_place_query *query, const char *id)
 {
@@ -41,18 +48,17 @@
 
 /* Lower is better.  Random noise breaks ties between equal endpoints. */
 static uint64_t
-cost (const struct eel_instance *instance,
-      int64_t now_us,
-      struct eel_rng *rng)
+cost (const struct eel_instance *instance, int64_t now_us, struct eel_rng *rng)
 {
   uint64_t use = expected_use (instance, now_us);
   uint64_t noise = eel_rng_below (rng, 50);
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
-  if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI)
+  if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
+      && instance->shed_rate < SHED_RATE_SPILL)
     return noise;
-  return 1000 + use + noise;
+  return 1000 + use + noise + (uint64_t)(SHED_COST * instance->shed_rate);
 }
 
 /* Returns the cheapest endpoint that was not tried. */
@@ -100,6 +106,15 @@
   instance->use_at_us = now_us;
   instance->failures = 0;
   instance->avoid_until_us = 0;
+  instance->shed_rate -= SHED_WEIGHT * instance->shed_rate;
+}
+
+/* The endpoint has refused a request that its node had sent. */
+void
+eel_place_shed (struct eel_instance *instance)
+{
+  /* The answer itself has been counted as one that was not shed. */
+  instance->shed_rate += SHED_WEIGHT;
 }
 
 /* Avoids an endpoint for longer with each failure in a row. */
