--- a/Makefile
+++ b/Makefile
@@ -143,9 +143,9 @@
 	@echo LD $@
 	@$(link)
 
-$(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(APP_A) $(LIB_A)
+$(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(RELAY_A) $(APP_A) $(LIB_A)
 	@echo LD $@
-	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(APP_A) $(LIB_A) $(PKG_LIBS) \
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(RELAY_A) $(APP_A) $(LIB_A) $(PKG_LIBS) \
 		-lgtest -lgtest_main
 
 deps:
--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -42,6 +42,8 @@
   uint32_t running;
   struct eel_gate_item queue[EEL_GATE_QUEUE_MAX];
   uint32_t queued;
+  /* Rank of the least important route in force. */
+  uint8_t last_rank;
   /* Mean time that a request holds a slot. */
   double hold_us;
   /* Smoothed (running + queued) / limit, in thousandths. */
--- a/src/admission/entry_gate.c
+++ b/src/admission/entry_gate.c
@@ -14,7 +14,8 @@
 #define GAIN_PER_S 0.5
 /* Change per second at most, in units of the gain. */
 #define RISE_MAX 3.0
-#define FALL_MAX 1.0
+/* Refused share lost in a second without pressure: open again soon. */
+#define FALL_GAIN_PER_S 1.0
 /* Some requests always pass, so that the pressure stays known. */
 #define REFUSE_MAX 0.95
 /* Time constant of the reported pressure, and how long it counts. */
@@ -144,9 +145,8 @@
     passed_s = 1;
   if (excess > RISE_MAX)
     excess = RISE_MAX;
-  if (excess < -FALL_MAX)
-    excess = -FALL_MAX;
-  state->refuse += GAIN_PER_S * excess * passed_s;
+  state->refuse
+      += (excess < 0 ? FALL_GAIN_PER_S : GAIN_PER_S) * excess * passed_s;
   if (state->refuse < 0)
     state->refuse = 0;
   if (state->refuse > REFUSE_MAX)
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -87,13 +87,18 @@
   return expected_wait_us (gate, gate->queued);
 }
 
-/* The longest wait that an item may expect when it arrives. */
+/*
+ * The longest wait that an item may expect when it arrives.  Only the least
+ * important rank has to be in time: the others include the calls of requests
+ * that run already, and refusing one throws away what these have done.
+ */
 static int64_t
 allowed_wait_us (const struct eel_gate *gate,
                  const struct eel_gate_item *item,
                  int64_t now_us)
 {
-  int64_t limit_us = item->rank == 0 ? item->deadline_us : item->target_us;
+  int64_t limit_us
+      = item->rank < gate->last_rank ? item->deadline_us : item->target_us;
 
   return (limit_us - now_us - (int64_t)gate->hold_us) * WAIT_PERCENT / 100;
 }
--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -136,6 +136,12 @@
   struct eel_exchange *exchange = conn->reading;
 
   conn->deaf = 1;
+  if (exchange != NULL && exchange->answer_done)
+    {
+      exchange->close_after = 1;
+      eel_conn_flush (conn);
+      return;
+    }
   if (exchange != NULL && (exchange->answer_started || exchange->state != NULL))
     {
       eel_conn_close (conn);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -172,6 +172,7 @@
   for (uint32_t i = 0; i < routes->count; i++)
     if (routes->routes[i].rank > relay->entry_gate.last_rank)
       relay->entry_gate.last_rank = routes->routes[i].rank;
+  relay->gate.last_rank = relay->entry_gate.last_rank;
   relay->callers.limits = *limits;
 }
 
--- a/src/retry/retry_share.c
+++ b/src/retry/retry_share.c
@@ -39,17 +39,35 @@
     share->slot_end_us = now_us + share->slot_us;
 }
 
-/* Adds up one window; ago counts back from the present slot. */
+/* Adds up some slots; ago counts back from the present one. */
 static uint32_t
-sum (const struct eel_retry_share *share, const uint32_t *slots, uint32_t ago)
+sum (const struct eel_retry_share *share,
+     const uint32_t *slots,
+     uint32_t ago,
+     uint32_t count)
 {
   uint32_t total = 0;
 
-  for (uint32_t i = 0; i < EEL_RETRY_SHARE_SLOTS; i++)
+  for (uint32_t i = 0; i < count; i++)
     total += slots[(share->slot + 2 * SLOTS - ago - i) % SLOTS];
   return total;
 }
 
+/*
+ * Retries in thousandths that are left to a window that began some slots ago:
+ * its requests so far, or those of a whole window before its start.
+ */
+static double
+left_milli (const struct eel_retry_share *share, uint32_t slots)
+{
+  uint32_t present = sum (share, share->requests, 0, slots);
+  uint32_t before = sum (share, share->requests, slots, EEL_RETRY_SHARE_SLOTS);
+  double allowed
+      = share->ratio * (present > before ? present : before) + share->extra;
+
+  return allowed * 1000 - sum (share, share->retries_milli, 0, slots);
+}
+
 /* Counts a request for the service. */
 void
 eel_retry_share_request (struct eel_retry_share *share, int64_t now_us)
@@ -58,27 +76,30 @@
   share->requests[share->slot]++;
 }
 
-/* Takes a retry when the window has room for it. */
+/* Takes a retry when every window that holds this moment has room for it. */
 int
 eel_retry_share_take (struct eel_retry_share *share,
                       uint32_t cost_milli,
                       int64_t now_us)
 {
-  uint32_t present;
-  uint32_t before;
-  double allowed;
+  uint32_t in_slot;
+  double slot_milli;
 
   advance (share, now_us);
-  present = sum (share, share->requests, 0);
-  before = sum (share, share->requests, EEL_RETRY_SHARE_SLOTS);
-  allowed = share->ratio * (present > before ? present : before) + share->extra;
-  if (sum (share, share->retries_milli, 0) + cost_milli > allowed * 1000
-      || share->retries_milli[share->slot] + cost_milli
-             > allowed * 1000 * SLOT_SHARE + 1000)
+  in_slot = share->retries_milli[share->slot];
+  slot_milli = (left_milli (share, 1) + in_slot) * SLOT_SHARE;
+  /* The first of a slot passes, or little traffic would get none. */
+  if (in_slot > 0 && in_slot + cost_milli > slot_milli)
     {
       share->refused++;
       return 0;
     }
+  for (uint32_t slots = 1; slots <= EEL_RETRY_SHARE_SLOTS; slots++)
+    if (left_milli (share, slots) < cost_milli)
+      {
+        share->refused++;
+        return 0;
+      }
   share->retries_milli[share->slot] += cost_milli;
   return 1;
 }
--- /dev/null
+++ b/tests/unit/relay_world.h
@@ -0,0 +1,88 @@
+#ifndef EEL_TESTS_RELAY_WORLD_H
+#define EEL_TESTS_RELAY_WORLD_H
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+extern "C"
+{
+#include "internal/task.h"
+#include "relay/relay.h"
+}
+
+struct raw_conn
+{
+  struct bufferevent *bev;
+  std::string in;
+  bool closed = false;
+  bool reset = false;
+};
+
+// An upstream that hands each whole request to the test, which writes bytes.
+struct raw_upstream
+{
+  struct evconnlistener *listener = nullptr;
+  struct sockaddr_in address = {};
+  std::vector<std::unique_ptr<raw_conn>> conns;
+  std::vector<std::string> requests;
+  std::function<void (raw_upstream &, raw_conn &, const std::string &)> answer;
+  size_t closed_by_peer = 0;
+
+  void open (struct event_base *base, const char *ip);
+  ~raw_upstream ();
+  static void write (raw_conn &conn, const std::string &bytes);
+  // Sends the last bytes, then ends or resets the connection.
+  static void end (raw_conn &conn, bool reset, const std::string &last = "");
+};
+
+struct relay_node
+{
+  struct eel_relay relay;
+  struct eel_metrics metrics;
+  raw_upstream upstream;
+  std::string id;
+  uint16_t callers_port;
+};
+
+// Nodes at 127.0.0.1, 127.0.0.2 and so on, each beside an upstream.
+struct relay_world
+{
+  struct event_base *base = event_base_new ();
+  std::vector<std::unique_ptr<relay_node>> nodes;
+  uint64_t revision = 0;
+
+  explicit relay_world (size_t count, const char *service = "shop");
+  ~relay_world ();
+  // Lists the upstream of a node as "up-N" with that many slots.
+  void list (size_t node, uint32_t slots = 10, bool ready = true);
+  // Route /safe/ may run more than once, /once/ may not; limit in ms.
+  void publish (uint32_t timeout_ms = 2000);
+  bool run_until (const std::function<bool ()> &done, int64_t limit_ms = 8000);
+  void run_ms (int64_t ms);
+  std::unique_ptr<raw_conn> connect (size_t node = 0);
+  // Sends one request on a new connection and returns all bytes that come.
+  std::string ask (const std::string &request, size_t node = 0);
+};
+
+std::string request_text (const std::string &method,
+                          const std::string &target,
+                          const std::string &id,
+                          const std::string &lines = "",
+                          const std::string &body = "");
+// An answer that carries the id of the request.
+std::string answer_text (const std::string &request,
+                         const std::string &body,
+                         const std::string &status = "200 OK",
+                         const std::string &lines = "");
+std::string field_of (const std::string &message, const std::string &name);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_directory.cc
@@ -0,0 +1,181 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "eelgrasslatch/directory.h"
+#include "eelgrasslatch/place.h"
+#include "eelgrasslatch/published.h"
+}
+
+static struct eel_instance
+entry (const char *id, uint64_t revision, bool own_domain = true)
+{
+  struct eel_instance instance = {};
+
+  snprintf (instance.id, sizeof instance.id, "%s", id);
+  instance.revision = revision;
+  instance.slots = 10;
+  instance.same_domain = own_domain;
+  return instance;
+}
+
+struct directory_test : public ::testing::Test
+{
+  struct eel_instance room[4];
+  struct eel_directory directory;
+  struct eel_rng rng;
+
+  directory_test ()
+  {
+    eel_directory_init (&directory, room, 4);
+    eel_rng_init (&rng, 1);
+    eel_directory_stable (&directory, 1, -10 * EEL_US_PER_S);
+  }
+
+  void
+  put (struct eel_instance instance, int64_t now_us = 0)
+  {
+    eel_directory_put (&directory, &instance, now_us);
+  }
+
+  const char *
+  pick (int64_t now_us = 0)
+  {
+    const struct eel_place_query query = { 0, nullptr, 0 };
+    struct eel_instance *found
+        = eel_place_pick (&directory, &query, now_us, &rng);
+
+    return found == nullptr ? nullptr : found->id;
+  }
+};
+
+// Guards against an older word that undoes a newer one, whoever says it.
+TEST_F (directory_test, TheGreaterRevisionWins)
+{
+  put (entry ("a", 5));
+  eel_directory_remove (&directory, "a", 7, 0);
+  put (entry ("a", 6));
+  EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_GONE);
+  put (entry ("a", 8));
+  EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_READY);
+}
+
+// Guards against a new request to an endpoint that has left for good.
+TEST_F (directory_test, RemovalByAStableRegistryIsFinal)
+{
+  put (entry ("a", 1));
+  eel_directory_remove (&directory, "a", 2, 0);
+  EXPECT_EQ (pick (), nullptr);
+}
+
+// Guards against all endpoints being dropped because their entries lapsed
+// while the registry was away.
+TEST_F (directory_test, LapsedEntriesAreUsedUntilTheyMustBeBack)
+{
+  put (entry ("a", 1));
+  put (entry ("b", 2));
+  eel_directory_stable (&directory, 0, 0);
+  eel_directory_stable (&directory, 1, 5 * EEL_US_PER_S);
+  eel_directory_remove (&directory, "a", 3, 5 * EEL_US_PER_S);
+  eel_directory_remove (&directory, "b", 4, 5 * EEL_US_PER_S);
+  EXPECT_TRUE (eel_instance_usable (eel_directory_find (&directory, "a")));
+  put (entry ("b", 5), 6 * EEL_US_PER_S);
+  eel_directory_tick (&directory, 5 * EEL_US_PER_S + EEL_LAPSE_US);
+  EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_GONE);
+  EXPECT_EQ (eel_directory_find (&directory, "b")->state, EEL_INSTANCE_READY);
+}
+
+// Guards against an endpoint that drains and is used again when its entry
+// lapses.
+TEST_F (directory_test, DrainingEntriesDoNotLapse)
+{
+  struct eel_instance draining = entry ("a", 2);
+
+  put (entry ("a", 1));
+  draining.state = EEL_INSTANCE_DRAINING;
+  put (draining);
+  eel_directory_stable (&directory, 0, 0);
+  eel_directory_remove (&directory, "a", 3, 0);
+  EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_GONE);
+}
+
+// Guards against a table that fills up with endpoints that are gone.
+TEST_F (directory_test, GoneEntriesMakeRoom)
+{
+  for (const char *id : { "a", "b", "c", "d" })
+    put (entry (id, 1));
+  put (entry ("e", 2));
+  EXPECT_EQ (eel_directory_find (&directory, "e"), nullptr);
+  EXPECT_EQ (directory.full, 1u);
+  eel_directory_remove (&directory, "c", 3, 0);
+  put (entry ("e", 4));
+  EXPECT_NE (eel_directory_find (&directory, "e"), nullptr);
+}
+
+// Bytes between failure domains are dear: the own domain comes first.
+TEST_F (directory_test, OwnDomainUntilNearlyFull)
+{
+  put (entry ("own", 1));
+  put (entry ("far", 2, false));
+  for (int i = 0; i < 50; i++)
+    EXPECT_STREQ (pick (), "own");
+  eel_place_answered (eel_directory_find (&directory, "own"), 1500, 1);
+  EXPECT_STREQ (pick (2), "far");
+}
+
+// Guards against an endpoint that fails and is tried by every request, and
+// against one that is never tried again.
+TEST_F (directory_test, FailingEndpointIsAvoidedForAWhile)
+{
+  struct eel_instance *own;
+
+  put (entry ("own", 1));
+  put (entry ("far", 2, false));
+  own = eel_directory_find (&directory, "own");
+  eel_place_failed (own, 0);
+  EXPECT_STREQ (pick (1), "far");
+  EXPECT_STREQ (pick (EEL_US_PER_S), "own");
+  for (int i = 0; i < 20; i++)
+    eel_place_failed (own, EEL_US_PER_S);
+  EXPECT_STREQ (pick (2 * EEL_US_PER_S), "far");
+  EXPECT_STREQ (pick (4 * EEL_US_PER_S), "own");
+}
+
+// Guards against preference for an endpoint that sheds and looks idle.
+TEST_F (directory_test, SheddingEndpointLosesItsDomainsPreference)
+{
+  struct eel_instance *own;
+
+  put (entry ("own", 1));
+  put (entry ("far", 2, false));
+  own = eel_directory_find (&directory, "own");
+  for (int i = 0; i < 20; i++)
+    {
+      eel_place_answered (own, 100, 1);
+      if (i % 2 == 0)
+        eel_place_shed (own);
+    }
+  EXPECT_STREQ (pick (2), "far");
+}
+
+// Guards against items that a listing lacks and that stay in force.
+TEST (Published, ListingShowsWhatWasRemoved)
+{
+  struct eel_published_item room[4];
+  struct eel_published published;
+  struct eel_published_item *missing;
+
+  eel_published_init (&published, room, 4);
+  EXPECT_NE (eel_published_put (&published, "s/a", 1, "x", 1), nullptr);
+  EXPECT_NE (eel_published_put (&published, "s/b", 2, "y", 1), nullptr);
+  EXPECT_NE (eel_published_put (&published, "c", 3, "z", 1), nullptr);
+  EXPECT_EQ (eel_published_put (&published, "c", 3, "older", 5), nullptr);
+  eel_published_begin_listing (&published, "s/");
+  eel_published_put (&published, "s/b", 2, "y", 1);
+  missing = eel_published_next_missing (&published, "s/", 9);
+  ASSERT_NE (missing, nullptr);
+  EXPECT_STREQ (missing->key, "s/a");
+  EXPECT_EQ (eel_published_next_missing (&published, "s/", 9), nullptr);
+  EXPECT_EQ (published.newest, 3u);
+  eel_published_finish (&published);
+}
--- /dev/null
+++ b/tests/unit/test_gate.cc
@@ -0,0 +1,91 @@
+#include <gtest/gtest.h>
+#include <set>
+
+extern "C"
+{
+#include "eelgrasslatch/gate.h"
+}
+
+static struct eel_gate_item
+item (uint8_t rank, int64_t target_ms, int64_t deadline_ms, intptr_t owner)
+{
+  return { rank, 0, target_ms * EEL_US_PER_MS, deadline_ms * EEL_US_PER_MS,
+           reinterpret_cast<void *> (owner) };
+}
+
+// Guards against a lookup that is served before an order, and against one that
+// is already late before one that can be in time.
+TEST (Gate, ServesByRankThenByWhatCanBeInTime)
+{
+  struct eel_gate gate;
+  struct eel_gate_item next;
+  const struct eel_gate_item items[]
+      = { item (2, 40, 9000, 1), item (2, 3000, 9000, 2),
+          item (2, 2000, 9000, 3), item (0, 5000, 9000, 4) };
+
+  eel_gate_init (&gate, 1);
+  gate.hold_us = 1;
+  struct eel_gate_item first = item (0, 1000, 9000, 9);
+  ASSERT_EQ (eel_gate_offer (&gate, &first, 0), EEL_GATE_START);
+  for (const auto &each : items)
+    ASSERT_EQ (eel_gate_offer (&gate, &each, 0), EEL_GATE_QUEUE);
+  for (intptr_t owner : { 4, 3, 2, 1 })
+    {
+      eel_gate_done (&gate, -1, 50 * EEL_US_PER_MS);
+      ASSERT_EQ (eel_gate_next (&gate, &next, 50 * EEL_US_PER_MS),
+                 EEL_GATE_START);
+      EXPECT_EQ (reinterpret_cast<intptr_t> (next.owner), owner);
+    }
+}
+
+// Guards against a request that waits although it can't be served in time.
+TEST (Gate, RefusesOnArrivalWhatWouldWaitTooLong)
+{
+  struct eel_gate gate;
+  struct eel_gate_item each = item (2, 100, 1000, 1);
+
+  eel_gate_init (&gate, 2);
+  gate.last_rank = 2;
+  gate.hold_us = 40 * EEL_US_PER_MS;
+  ASSERT_EQ (eel_gate_offer (&gate, &each, 0), EEL_GATE_START);
+  int queued = 0;
+  while (eel_gate_offer (&gate, &each, 0) == EEL_GATE_QUEUE)
+    queued++;
+  // 60 ms are left after the work itself; the wait is 40 ms for each ahead.
+  EXPECT_LE (queued, 1);
+  // An order may use its time up to the deadline.
+  struct eel_gate_item order = item (0, 100, 1000, 2);
+  EXPECT_EQ (eel_gate_offer (&gate, &order, 0), EEL_GATE_QUEUE);
+}
+
+// Guards against a queued request that starts after its time.
+TEST (Gate, RefusesWhatExpiresInTheQueue)
+{
+  struct eel_gate gate;
+  struct eel_gate_item next;
+  struct eel_gate_item first = item (0, 1000, 1000, 1);
+  struct eel_gate_item second = item (0, 1000, 1000, 2);
+
+  eel_gate_init (&gate, 1);
+  eel_gate_offer (&gate, &first, 0);
+  ASSERT_EQ (eel_gate_offer (&gate, &second, 0), EEL_GATE_QUEUE);
+  EXPECT_EQ (eel_gate_next (&gate, &next, 999 * EEL_US_PER_MS),
+             EEL_GATE_REFUSE);
+  EXPECT_EQ (gate.queued, 0u);
+  EXPECT_EQ (gate.running, 1u);
+}
+
+// Guards against a slot that stays taken after its owner has gone.
+TEST (Gate, WithdrawsOnlyTheOwnersItem)
+{
+  struct eel_gate gate;
+  struct eel_gate_item first = item (0, 1000, 1000, 1);
+  struct eel_gate_item second = item (0, 1000, 1000, 2);
+
+  eel_gate_init (&gate, 1);
+  eel_gate_offer (&gate, &first, 0);
+  eel_gate_offer (&gate, &second, 0);
+  EXPECT_EQ (eel_gate_withdraw (&gate, first.owner), 0);
+  EXPECT_EQ (eel_gate_withdraw (&gate, second.owner), 1);
+  EXPECT_EQ (gate.queued, 0u);
+}
