Test the platform's daemon with stand-ins; keep what can be put in force for peers

Cause: a configuration that could not be read replaced the copy that a node tells its peers, so a node that restarted while the store was away got nothing. Change: only configurations that are newer and valid are kept.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 LIB_DIRS := base error toml execution retry admission routing membership preset \
 	caller wire metrics audit
 APP_DIRS := task settings http peer platform admin node
-RELAY_DIRS := relay
+RELAY_DIRS := relay log
 
 find_src = $(sort $(wildcard $(foreach d,$(1),src/$(d)/*.c src/$(d)/*.cc)))
 obj = $(patsubst %,$(BUILD)/%.o,$(1))
--- a/include/eelgrasslatch/published.h
+++ b/include/eelgrasslatch/published.h
@@ -43,6 +43,8 @@
                                               uint64_t revision,
                                               const void *data,
                                               size_t bytes);
+/* Notes a revision whose item isn't kept; 0 when a later one was seen. */
+int eel_published_seen (struct eel_published *published, uint64_t revision);
 struct eel_published_item *
 eel_published_find (const struct eel_published *published, const char *key);
 /*
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -31,6 +31,16 @@
   return NULL;
 }
 
+/* Raises the greatest revision that is known. */
+int
+eel_published_seen (struct eel_published *published, uint64_t revision)
+{
+  if (revision <= published->newest)
+    return 0;
+  published->newest = revision;
+  return 1;
+}
+
 /* Returns a free place, or that of the removed item with the least revision. */
 static struct eel_published_item *
 make_room (struct eel_published *published)
@@ -89,8 +99,7 @@
   item->data = copy;
   item->bytes = bytes;
   item->listed = 1;
-  if (revision > published->newest)
-    published->newest = revision;
+  eel_published_seen (published, revision);
   return item;
 }
 
--- /dev/null
+++ b/tests/run/test_platformd.sh
@@ -0,0 +1,68 @@
+#!/bin/sh
+# Runs the platform's daemon against the stand-ins of the store and of two
+# endpoints, and compares what callers and endpoints see.
+set -eu
+. tools/platform_fleet.sh
+trap fleet_stop EXIT INT TERM
+
+# One entry a page, so that a listing takes several calls.
+fleet_store 1
+fleet_endpoint 2 up-2
+fleet_endpoint 3 up-3
+fleet_node 2
+fleet_node 3
+fleet_until curl -s "http://127.0.0.2:$((FLEET_PORT + 4))/api/readiness"
+{
+	echo "== before any configuration"
+	fleet_ask 2 a1 /safe/x
+	fleet_entry 2 up-2 ready
+	fleet_entry 3 up-3 ready
+	store_put servers/foreign 'not JSON'
+	store_put servers/odd '{"service":7,"state":"ready"}'
+	fleet_config 3 /safe/ /once/
+	fleet_until fleet_is_ready 2
+	fleet_until fleet_is_ready 3
+	echo "== served, with and without a body; an unknown route"
+	fleet_until fleet_gives 200 2 /safe/ready
+	fleet_ask 2 a2 /safe/x
+	fleet_ask 2 a3 /once/y -X POST -d order
+	fleet_ask 2 a4 /none/
+	echo "== a later version is in force, an older and a cut one are not"
+	fleet_config 5 /safe/ /new/
+	fleet_until fleet_gives 200 2 /new/x
+	fleet_config 4 /safe/
+	store_put op/config '{"version":9,"rou'
+	sleep 0.3
+	fleet_ask 2 a5 /new/x
+	fleet_ask 2 a6 /once/y
+	echo "== an endpoint that drains gets nothing"
+	fleet_entry 2 up-2 draining
+	fleet_until grep -q "id=up-2 state=draining" "$FLEET_DIR/node2.out"
+	fleet_ask 2 a7 /safe/x
+	echo "== the store is away: a restarted node learns from its peer"
+	store_order down
+	kill -KILL "$(fleet_pid node3)"
+	fleet_node 3
+	fleet_until fleet_is_ready 3
+	fleet_until fleet_gives 200 3 /new/x
+	fleet_ask 3 a8 /new/x
+	echo "== the store returns without its history"
+	store_order up
+	store_order forget
+	fleet_config 11 /late/
+	fleet_until fleet_gives 200 2 /late/x
+	fleet_until fleet_gives 200 3 /late/x
+	fleet_ask 3 a9 /late/x
+	echo "== metrics"
+	curl -s "http://127.0.0.3:9464/metrics" | grep -c '^eel_relay_latency_seconds_bucket'
+	echo "== planned stop"
+	kill -TERM "$(fleet_pid node3)"
+	fleet_until sh -c "! curl -s -f -o /dev/null http://127.0.0.3:$((FLEET_PORT + 4))/api/readiness"
+	fleet_ask 3 a10 /late/x
+	code=0
+	wait "$(fleet_pid node3)" || code=$?
+	echo "exit $code"
+} >"$FLEET_DIR/result"
+echo "== runs" >>"$FLEET_DIR/result"
+cat "$FLEET_DIR"/endpoint?.out | grep -v '^probe' | sort >>"$FLEET_DIR/result"
+diff tests/run/platformd.expected "$FLEET_DIR/result"
--- /dev/null
+++ b/tests/standin/endpoint.c
@@ -0,0 +1,154 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/*
+ * Stand-in of an endpoint of the platform: endpoint IP PORT ID WORK_MS.  It
+ * runs what expects its id, refuses the rest with 421, and prints one line
+ * for each run: id of the request, method, target, service of the caller.
+ * Without arguments it prints the first of some free ports.
+ */
+
+/* Ports and addresses that a fleet uses. */
+#define PORTS 8
+#define VMS 8
+
+static struct
+{
+  struct event_base *base;
+  const char *id;
+  struct timeval work;
+} endpoint;
+
+static const char *
+field (struct evhttp_request *request, const char *name)
+{
+  const char *value
+      = evhttp_find_header (evhttp_request_get_input_headers (request), name);
+
+  return value == NULL ? "-" : value;
+}
+
+static void
+add_field (struct evhttp_request *request, const char *name, const char *value)
+{
+  evhttp_add_header (evhttp_request_get_output_headers (request), name, value);
+}
+
+static void
+finish (evutil_socket_t fd, short what, void *data)
+{
+  struct evhttp_request *request = data;
+  struct evbuffer *body = evbuffer_new ();
+
+  (void)fd;
+  (void)what;
+  evbuffer_add_printf (body, "ran at %s\n", endpoint.id);
+  add_field (request, "X-Attempt-Id", field (request, "X-Attempt-Id"));
+  add_field (request, "X-Response-Signature", "signed");
+  evhttp_send_reply (request, 200, "OK", body);
+  evbuffer_free (body);
+}
+
+static const char *
+method_name (struct evhttp_request *request)
+{
+  switch (evhttp_request_get_command (request))
+    {
+    case EVHTTP_REQ_GET:
+      return "GET";
+    case EVHTTP_REQ_POST:
+      return "POST";
+    default:
+      return "OTHER";
+    }
+}
+
+static void
+on_request (struct evhttp_request *request, void *data)
+{
+  (void)data;
+  if (strcmp (field (request, "X-Expected-Instance"), endpoint.id) != 0)
+    {
+      add_field (request, "X-Instance-Id", endpoint.id);
+      evhttp_send_reply (request, 421, "Misdirected Request", NULL);
+      return;
+    }
+  printf ("%s %s %s %s\n", field (request, "X-Attempt-Id"),
+          method_name (request), evhttp_request_get_uri (request),
+          field (request, "X-Caller-Service"));
+  fflush (stdout);
+  event_base_once (endpoint.base, -1, EV_TIMEOUT, finish, request,
+                   &endpoint.work);
+}
+
+static int
+can_bind (uint32_t ip, int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (ip),
+                                 .sin_port = htons ((uint16_t)port) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int bound = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+
+  close (fd);
+  return bound;
+}
+
+/* A port that the kernel gives out, followed by others that are free too. */
+static int
+free_ports (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t bytes = sizeof address;
+
+  for (;;)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      int port;
+      int n = 0;
+
+      bind (fd, (struct sockaddr *)&address, sizeof address);
+      getsockname (fd, (struct sockaddr *)&address, &bytes);
+      close (fd);
+      port = ntohs (address.sin_port);
+      address.sin_port = 0;
+      while (n < PORTS * VMS
+             && can_bind (INADDR_LOOPBACK + (uint32_t)(n / PORTS),
+                          port + n % PORTS))
+        n++;
+      if (n == PORTS * VMS && port + PORTS < 65536)
+        return port;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  struct evhttp *http;
+
+  if (argc == 1)
+    {
+      printf ("%d\n", free_ports ());
+      return 0;
+    }
+  if (argc != 5)
+    return 64;
+  signal (SIGPIPE, SIG_IGN);
+  endpoint.id = argv[3];
+  endpoint.work.tv_usec = atoi (argv[4]) * 1000;
+  endpoint.base = event_base_new ();
+  http = evhttp_new (endpoint.base);
+  evhttp_set_gencb (http, on_request, NULL);
+  if (evhttp_bind_socket (http, argv[1], (ev_uint16_t)atoi (argv[2])) != 0)
+    return 1;
+  event_base_dispatch (endpoint.base);
+  return 0;
+}
--- /dev/null
+++ b/tests/standin/store.c
@@ -0,0 +1,290 @@
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/*
+ * Stand-in of the platform's metadata store: ranges in pages, watches, and
+ * faults on order.  Control: PUT /put?key=K with the value, POST
+ * /remove?key=K, /down, /up, /forget (the history), /calls.
+ */
+
+#define ITEMS_MAX 512
+#define WAITS_MAX 64
+
+struct item
+{
+  char key[201];
+  char *value;
+  uint64_t revision;
+  int removed;
+};
+
+struct wait
+{
+  struct evhttp_request *request;
+  struct event *timer;
+  char prefix[201];
+  uint64_t after;
+};
+
+static struct
+{
+  struct event_base *base;
+  struct item items[ITEMS_MAX];
+  int count;
+  struct wait waits[WAITS_MAX];
+  uint64_t revision;
+  uint64_t history_from;
+  uint64_t calls;
+  int page;
+  int down;
+} store = { .revision = 1, .page = 500 };
+
+static void
+reply (struct evhttp_request *request, int status, const char *text)
+{
+  struct evbuffer *body = evbuffer_new ();
+
+  evbuffer_add_printf (body, "%s", text);
+  evhttp_send_reply (request, status, "-", body);
+  evbuffer_free (body);
+}
+
+static void
+query (struct evhttp_request *request,
+       const char *name,
+       char *out,
+       size_t bytes)
+{
+  struct evkeyvalq fields;
+  const char *text
+      = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  const char *value;
+
+  evhttp_parse_query_str (text == NULL ? "" : text, &fields);
+  value = evhttp_find_header (&fields, name);
+  g_strlcpy (out, value == NULL ? "" : value, bytes);
+  evhttp_clear_headers (&fields);
+}
+
+static void
+add_item (GString *text, const struct item *item, int *first)
+{
+  gchar *value
+      = g_base64_encode ((const guchar *)item->value, strlen (item->value));
+
+  g_string_append_printf (text, "%s{\"key\":\"%s\",\"revision\":%" PRIu64,
+                          *first ? "" : ",", item->key, item->revision);
+  if (item->removed)
+    g_string_append (text, ",\"tombstone\":true}");
+  else
+    g_string_append_printf (
+        text, ",\"value\":\"%s\",\"created\":1,\"lease\":0}", value);
+  g_free (value);
+  *first = 0;
+}
+
+static int
+compare_items (const void *a, const void *b)
+{
+  return strcmp (((const struct item *)a)->key, ((const struct item *)b)->key);
+}
+
+static void
+on_range (struct evhttp_request *request, void *data)
+{
+  GString *text = g_string_new ("{\"items\":[");
+  char prefix[201];
+  char after[201];
+  int sent = 0;
+  int first = 1;
+  int truncated = 0;
+
+  (void)data;
+  store.calls++;
+  query (request, "prefix", prefix, sizeof prefix);
+  query (request, "after", after, sizeof after);
+  qsort (store.items, (size_t)store.count, sizeof *store.items, compare_items);
+  for (int i = 0; i < store.count && !truncated; i++)
+    {
+      const struct item *item = &store.items[i];
+
+      if (item->removed || strncmp (item->key, prefix, strlen (prefix)) != 0
+          || strcmp (item->key, after) <= 0)
+        continue;
+      truncated = sent == store.page;
+      if (truncated)
+        break;
+      add_item (text, item, &first);
+      sent++;
+    }
+  g_string_append_printf (text,
+                          "],\"truncated\":%s,\"currentRev\":%" PRIu64 "}",
+                          truncated ? "true" : "false", store.revision);
+  reply (request, store.down ? 503 : 200, text->str);
+  g_string_free (text, TRUE);
+}
+
+/* Answers a watch with the events after its revision; 0 when there are none. */
+static int
+answer_wait (struct wait *wait, int timed_out)
+{
+  GString *text = g_string_new ("{\"events\":[");
+  int first = 1;
+
+  for (int i = 0; i < store.count; i++)
+    if (store.items[i].revision > wait->after
+        && strncmp (store.items[i].key, wait->prefix, strlen (wait->prefix))
+               == 0)
+      add_item (text, &store.items[i], &first);
+  if (!first || timed_out)
+    {
+      g_string_append_printf (text, "],\"currentRev\":%" PRIu64 "}",
+                              store.revision);
+      reply (wait->request, 200, text->str);
+      if (wait->timer != NULL)
+        event_free (wait->timer);
+      memset (wait, 0, sizeof *wait);
+    }
+  g_string_free (text, TRUE);
+  return !first || timed_out;
+}
+
+static void
+on_timeout (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  answer_wait (data, 1);
+}
+
+static void
+on_watch (struct evhttp_request *request, void *data)
+{
+  char text[32];
+  struct wait *wait = NULL;
+  struct timeval limit = { 0 };
+
+  (void)data;
+  store.calls++;
+  for (int i = 0; i < WAITS_MAX && wait == NULL; i++)
+    if (store.waits[i].request == NULL)
+      wait = &store.waits[i];
+  query (request, "after", text, sizeof text);
+  if (store.down || wait == NULL)
+    {
+      reply (request, 503, "");
+      return;
+    }
+  if (strtoull (text, NULL, 10) < store.history_from)
+    {
+      reply (request, 410, "");
+      return;
+    }
+  wait->request = request;
+  wait->after = strtoull (text, NULL, 10);
+  query (request, "prefix", wait->prefix, sizeof wait->prefix);
+  query (request, "waitMs", text, sizeof text);
+  limit.tv_sec = strtol (text, NULL, 10) / 1000;
+  if (answer_wait (wait, 0))
+    return;
+  wait->timer = event_new (store.base, -1, 0, on_timeout, wait);
+  event_add (wait->timer, &limit);
+}
+
+static struct item *
+find_or_add (const char *key)
+{
+  for (int i = 0; i < store.count; i++)
+    if (strcmp (store.items[i].key, key) == 0)
+      return &store.items[i];
+  if (store.count == ITEMS_MAX)
+    abort ();
+  g_strlcpy (store.items[store.count].key, key, sizeof store.items[0].key);
+  return &store.items[store.count++];
+}
+
+static void
+on_change (struct evhttp_request *request, void *data)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  size_t bytes = evbuffer_get_length (body);
+  struct item *item;
+  char key[201];
+
+  query (request, "key", key, sizeof key);
+  item = find_or_add (key);
+  item->removed = data != NULL;
+  free (item->value);
+  item->value = calloc (1, bytes + 1);
+  evbuffer_copyout (body, item->value, bytes);
+  item->revision = ++store.revision;
+  for (int i = 0; i < WAITS_MAX; i++)
+    if (store.waits[i].request != NULL && !store.down)
+      answer_wait (&store.waits[i], 0);
+  reply (request, 200, "ok\n");
+}
+
+static void
+on_order (struct evhttp_request *request, void *data)
+{
+  const char *path
+      = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+  char text[64] = "ok\n";
+
+  (void)data;
+  if (strcmp (path, "/down") == 0 || strcmp (path, "/up") == 0)
+    store.down = strcmp (path, "/down") == 0;
+  else if (strcmp (path, "/forget") == 0)
+    store.history_from = store.revision + 1;
+  else
+    snprintf (text, sizeof text, "%" PRIu64 "\n", store.calls);
+  /* What waits is cut off when the store goes away. */
+  for (int i = 0; i < WAITS_MAX && strcmp (path, "/calls") != 0; i++)
+    if (store.waits[i].request != NULL)
+      {
+        reply (store.waits[i].request, 503, "");
+        if (store.waits[i].timer != NULL)
+          event_free (store.waits[i].timer);
+        memset (&store.waits[i], 0, sizeof store.waits[i]);
+      }
+  reply (request, 200, text);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct evhttp *http;
+  struct evhttp_bound_socket *socket;
+  struct sockaddr_in address;
+  socklen_t bytes = sizeof address;
+
+  signal (SIGPIPE, SIG_IGN);
+  if (argc > 1)
+    store.page = atoi (argv[1]);
+  store.base = event_base_new ();
+  http = evhttp_new (store.base);
+  evhttp_set_allowed_methods (http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT
+                                        | EVHTTP_REQ_POST);
+  evhttp_set_cb (http, "/api/kv-range", on_range, NULL);
+  evhttp_set_cb (http, "/api/kv-watch", on_watch, NULL);
+  evhttp_set_cb (http, "/put", on_change, NULL);
+  evhttp_set_cb (http, "/remove", on_change, &store);
+  evhttp_set_gencb (http, on_order, NULL);
+  socket = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
+  if (socket == NULL)
+    return 1;
+  getsockname (evhttp_bound_socket_get_fd (socket), (struct sockaddr *)&address,
+               &bytes);
+  printf ("%u\n", ntohs (address.sin_port));
+  fflush (stdout);
+  event_base_dispatch (store.base);
+  return 0;
+}
--- /dev/null
+++ b/tests/unit/test_log.cc
@@ -0,0 +1,67 @@
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+extern "C"
+{
+#include "internal/log.h"
+#include "eelgrasslatch/types.h"
+}
+
+struct log_test : public ::testing::Test
+{
+  int ends[2];
+  struct eel_log log = {};
+
+  log_test ()
+  {
+    if (pipe2 (ends, O_NONBLOCK) != 0)
+      abort ();
+    log.fd = ends[1];
+    log.lines_per_s = 2;
+  }
+
+  ~log_test ()
+  {
+    close (ends[0]);
+    close (ends[1]);
+  }
+
+  std::string
+  take ()
+  {
+    char bytes[65536];
+    ssize_t got = read (ends[0], bytes, sizeof bytes);
+
+    return std::string (bytes, got > 0 ? (size_t)got : 0);
+  }
+};
+
+// Guards against a log that grows with the load, and against lines that are
+// left out without a word.
+TEST_F (log_test, BoundsLinesAndSaysWhatIsMissing)
+{
+  for (int i = 0; i < 5; i++)
+    eel_log_line (&log, 0, 1, "info", "a");
+  eel_log_line (&log, EEL_US_PER_S, 2, "info", "b");
+  EXPECT_EQ (take (), "1.000 info a\n1.000 info a\n"
+                      "2.000 warning event=log_dropped lines=3\n"
+                      "2.000 info b\n");
+}
+
+// Guards against a process that waits for a reader of its log.
+TEST_F (log_test, NeverWaitsForTheReader)
+{
+  std::string full (60000, 'x');
+
+  log.lines_per_s = 1000;
+  while (write (ends[1], full.data (), 4096) > 0)
+    ;
+  eel_log_line (&log, 0, 1, "info", "lost");
+  EXPECT_EQ (log.dropped, 1u);
+  while (!take ().empty ())
+    ;
+  eel_log_line (&log, 1, 1, "info", "kept");
+  EXPECT_EQ (take (), "1.000 warning event=log_dropped lines=1\n"
+                      "1.000 info kept\n");
+}
--- /dev/null
+++ b/tools/platform_fleet.sh
@@ -0,0 +1,124 @@
+# Functions that start nodes of the platform's daemon beside stand-ins, one VM
+# for each address 127.0.0.N, and end what they started.  Source this file.
+
+FLEET_DIR=$(mktemp -d)
+FLEET_PIDS=""
+# All nodes use the same ports, as on the platform.
+FLEET_PORT=$("$BUILD/standin_endpoint")
+
+fleet_start()
+{
+	name=$1
+	shift
+	"$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.err" &
+	echo $! >"$FLEET_DIR/$name.pid"
+	FLEET_PIDS="$FLEET_PIDS $!"
+}
+
+fleet_pid()
+{
+	cat "$FLEET_DIR/$1.pid"
+}
+
+fleet_stop()
+{
+	for pid in $FLEET_PIDS; do
+		kill -KILL "$pid" 2>/dev/null || true
+	done
+	rm -rf "$FLEET_DIR"
+}
+
+# Waits up to 10 s until a command succeeds.
+fleet_until()
+{
+	n=0
+	until "$@" >/dev/null 2>&1; do
+		n=$((n + 1))
+		[ $n -lt 200 ] || { { echo "never: $*"; tail -n 30 "$FLEET_DIR"/node*.out; } >&2; return 1; }
+		sleep 0.05
+	done
+}
+
+fleet_store()
+{
+	fleet_start store "$BUILD/standin_store" "${1:-500}"
+	fleet_until test -s "$FLEET_DIR/store.out"
+	STORE=$(cat "$FLEET_DIR/store.out")
+}
+
+store_put()
+{
+	curl -s -X PUT --data-binary "$2" "http://127.0.0.1:$STORE/put?key=$1" >/dev/null
+}
+
+store_order()
+{
+	curl -s -X POST "http://127.0.0.1:$STORE/$1"
+}
+
+# fleet_entry N ID STATE: what the endpoint of VM N says of itself.
+fleet_entry()
+{
+	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"127.0.0.$1:$((FLEET_PORT + 1))\",\"zone\":\"z$1\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
+}
+
+fleet_endpoint()
+{
+	fleet_start "endpoint$1" "$BUILD/standin_endpoint" "127.0.0.$1" $((FLEET_PORT + 1)) "$2" "${3:-5}"
+}
+
+# fleet_settings N: the platform's settings file of VM N.
+fleet_settings()
+{
+	ip=127.0.0.$1
+	cat >"$FLEET_DIR/node$1.json" <<END
+{"nodeName":"node$1","role":"node","ip":"$ip","zone":"z$1","service":"shop",
+"listenAddresses":{"outbound":"$ip:$((FLEET_PORT + 2))","inbound":"$ip:$((FLEET_PORT + 3))",
+"ready":"$ip:$((FLEET_PORT + 4))","control":"$ip:$((FLEET_PORT + 5))"},
+"seedNodes":["127.0.0.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
+"bounds":{"gracePeriodS":6,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":48},
+"platform":{"address":"127.0.0.1:$STORE"}}
+END
+}
+
+fleet_node()
+{
+	fleet_settings "$1"
+	fleet_start "node$1" "$BUILD/eelgrasslatch-platformd" --config "$FLEET_DIR/node$1.json"
+}
+
+fleet_is_ready()
+{
+	[ "$(curl -s -o /dev/null -w '%{http_code}' "http://127.0.0.$1:$((FLEET_PORT + 4))/api/readiness")" = 200 ]
+}
+
+# fleet_config VERSION PREFIX...: the operator's configuration.
+fleet_config()
+{
+	version=$1
+	shift
+	routes=""
+	for prefix in "$@"; do
+		kind=safe
+		case $prefix in /once*) kind=non_idempotent ;; esac
+		routes="$routes${routes:+,}{\"name\":\"r$prefix\",\"host\":\"shop.example\",\"prefix\":\"$prefix\",\"kind\":\"$kind\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"shop\",\"attempts\":2}"
+	done
+	store_put op/config "{\"version\":$version,\"routes\":[$routes],\"services\":[{\"name\":\"shop\"}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
+}
+
+# fleet_ask N ID TARGET [curl options]: status and body of one request.
+fleet_ask()
+{
+	vm=$1
+	id=$2
+	target=$3
+	shift 3
+	curl -s -w '%{http_code}\n' -H "Host: shop.example" -H "X-Attempt-Id: $id" \
+		-H "X-Deadline-Remaining-Ms: 3000" "$@" "http://127.0.0.$vm:$((FLEET_PORT + 2))$target"
+}
+
+# True when the answer to a request at VM N has that status.
+fleet_gives()
+{
+	[ "$(fleet_ask "$2" "probe" "$3" -o /dev/null)" = "$1" ]
+}
