--- a/Makefile
+++ b/Makefile
@@ -171,7 +171,7 @@
 
 SOURCES := $(filter-out %.pb-c.c %.pb-c.h,$(shell git ls-files -co \
 	--exclude-standard -- '*.c' '*.h' '*.cc' 2>/dev/null))
-C_SOURCES := $(filter src/%.c daemon/%.c ctl/%.c,$(SOURCES))
+C_SOURCES := $(filter src/%.c platform/%.c daemon/%.c ctl/%.c,$(SOURCES))
 TIDY_JOBS ?= 8
 
 format:
--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -18,10 +18,10 @@
 /* A caller that has vanished is noticed after this. */
 #define CALLER_SILENCE_MS 4000
 
-static void
-conn_free (struct eel_conn *conn)
+/* Frees a connection that was closed. */
+void
+eel_conn_free (struct eel_conn *conn)
 {
-  bufferevent_free (conn->bev);
   eel_reader_finish (&conn->reader);
   free (conn);
 }
@@ -44,7 +44,7 @@
   conn->count = 0;
 }
 
-/* Closes at once; the struct lives on while its reader is running. */
+/* Closes at once; the struct is freed later, its reader may be running. */
 void
 eel_conn_close (struct eel_conn *conn)
 {
@@ -62,9 +62,10 @@
   if (conn->next != NULL)
     conn->next->previous = conn->previous;
   server->conn_count--;
-  bufferevent_disable (conn->bev, EV_READ | EV_WRITE);
-  if (!conn->feeding)
-    conn_free (conn);
+  bufferevent_free (conn->bev);
+  conn->bev = NULL;
+  conn->next = server->closed;
+  server->closed = conn;
 }
 
 /*
@@ -283,19 +284,16 @@
 void
 eel_conn_feed (struct eel_conn *conn)
 {
-  struct evbuffer *input = bufferevent_get_input (conn->bev);
-
   if (conn->dead || conn->feeding)
     return;
   conn->feeding = 1;
-  while (!conn->dead && evbuffer_get_length (input) > 0)
+  while (!conn->dead
+         && evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0)
     if (!feed_piece (conn))
       break;
   conn->feeding = 0;
-  if (conn->dead)
-    conn_free (conn);
-  else if (conn->closing
-           && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
+  if (!conn->dead && conn->closing
+      && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
     linger (conn);
 }
 
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -35,6 +35,7 @@
                                 int fd,
                                 const struct sockaddr_in *peer);
 void eel_conn_close (struct eel_conn *conn);
+void eel_conn_free (struct eel_conn *conn);
 /* Reads on after an exchange has left. */
 void eel_conn_feed (struct eel_conn *conn);
 /* Sends what is ready, in order. */
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -43,15 +43,15 @@
     link->next->previous = link->previous;
 }
 
-static void
-link_free (struct eel_link *link)
+/* Frees a link that was closed. */
+void
+eel_link_free (struct eel_link *link)
 {
-  bufferevent_free (link->bev);
   eel_reader_finish (&link->reader);
   free (link);
 }
 
-/* Closes the connection; the struct lives on while its reader is running. */
+/* Closes the connection; the struct is freed later, its reader may run. */
 static void
 link_close (struct eel_link *link)
 {
@@ -62,9 +62,10 @@
   link->ops = NULL;
   eel_link_unlist (link);
   link->pool->open_count--;
-  bufferevent_disable (link->bev, EV_READ | EV_WRITE);
-  if (!link->feeding)
-    link_free (link);
+  bufferevent_free (link->bev);
+  link->bev = NULL;
+  link->next = link->pool->closed;
+  link->pool->closed = link;
 }
 
 /* Returns the link to its pool, or closes it when it can't be used again. */
@@ -181,9 +182,9 @@
   if (link->is_idle)
     return "bytes after a complete answer";
   evbuffer_peek (input, -1, NULL, &chunk, 1);
-  link->feeding = 1;
   taken = eel_reader_feed (&link->reader, chunk.iov_base, chunk.iov_len);
-  link->feeding = 0;
+  if (link->closed)
+    return NULL;
   if (taken < 0)
     return "answer is not HTTP";
   evbuffer_drain (input, (size_t)taken);
@@ -200,10 +201,7 @@
       const char *reason = feed_piece (link, input);
 
       if (link->closed)
-        {
-          link_free (link);
-          return;
-        }
+        return;
       if (reason != NULL)
         {
           link_fail (link, reason);
@@ -242,12 +240,10 @@
   int complete;
 
   link->answer_keeps = 0;
-  link->feeding = 1;
   complete = eel_reader_eof (&link->reader);
-  link->feeding = 0;
   if (link->closed)
-    link_free (link);
-  else if (link->answered)
+    return;
+  if (link->answered)
     link_answered (link);
   else
     link_fail (link, complete ? "connection closed" : "answer cut short");
@@ -301,7 +297,8 @@
                                   sizeof pool->address)
       != 0)
     {
-      link_free (link);
+      bufferevent_free (link->bev);
+      eel_link_free (link);
       return NULL;
     }
   pool->open_count++;
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -28,6 +28,18 @@
   pool->connect_us = CONNECT_US;
 }
 
+static void
+free_closed (struct eel_pool *pool)
+{
+  while (pool->closed != NULL)
+    {
+      struct eel_link *link = pool->closed;
+
+      pool->closed = link->next;
+      eel_link_free (link);
+    }
+}
+
 /* Closes every link; the owners of active ones get no callback. */
 void
 eel_pool_finish (struct eel_pool *pool)
@@ -36,6 +48,7 @@
     eel_link_cancel (pool->idle);
   while (pool->active != NULL)
     eel_link_cancel (pool->active);
+  free_closed (pool);
 }
 
 /* Returns the link that was used last, if it is fresh enough. */
@@ -98,6 +111,7 @@
 {
   struct eel_link *link = pool->idle;
 
+  free_closed (pool);
   while (link != NULL)
     {
       struct eel_link *next = link->next;
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -39,6 +39,8 @@
   uint32_t silence_ms;
   struct eel_link *idle;
   struct eel_link *active;
+  /* To be freed once no callback uses them. */
+  struct eel_link *closed;
   uint32_t open_count;
   uint64_t opened;
   uint64_t reused;
@@ -65,7 +67,6 @@
   uint8_t had_stray;
   /* A whole answer has been read; its end is not yet reported. */
   uint8_t answered;
-  uint8_t feeding;
   uint8_t closed;
 };
 
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -73,6 +73,18 @@
   server->listener = NULL;
 }
 
+static void
+free_closed (struct eel_server *server)
+{
+  while (server->closed != NULL)
+    {
+      struct eel_conn *conn = server->closed;
+
+      server->closed = conn->next;
+      eel_conn_free (conn);
+    }
+}
+
 /* Closes everything; open exchanges are reported as gone. */
 void
 eel_server_finish (struct eel_server *server)
@@ -80,6 +92,7 @@
   eel_server_stop (server);
   while (server->conns != NULL)
     eel_conn_close (server->conns);
+  free_closed (server);
 }
 
 /* Closes connections past the limits on idle time and on reading a head. */
@@ -88,6 +101,7 @@
 {
   struct eel_conn *conn = server->conns;
 
+  free_closed (server);
   while (conn != NULL)
     {
       struct eel_conn *next = conn->next;
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -44,6 +44,8 @@
   void *owner;
   struct eel_server_limits limits;
   struct eel_conn *conns;
+  /* To be freed once no callback uses them. */
+  struct eel_conn *closed;
   uint32_t conn_count;
   uint32_t max_conns;
   uint32_t exchange_count;
