--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -55,6 +55,7 @@
   attempt->ops = ops;
   attempt->owner = owner;
   attempt->started_us = eel_clock_us ();
+  attempt->framing = work->request->framing;
   attempt->kind = instance == NULL || instance->ip == relay->config.ip.s_addr
                       ? &eel_attempt_local
                       : &eel_attempt_remote;
@@ -72,11 +73,12 @@
 void
 eel_attempt_body (struct eel_attempt *attempt, const void *data, size_t bytes)
 {
-  struct evbuffer *out = attempt->link != NULL ? eel_link_output (attempt->link)
-                                               : attempt->pending;
-
-  if (!attempt->answer_done)
-    eel_body_write (attempt->work.request->framing, out, data, bytes);
+  if (attempt->answer_done)
+    return;
+  eel_body_write (attempt->framing,
+                  attempt->accepted ? eel_link_output (attempt->link)
+                                    : attempt->pending,
+                  data, bytes);
 }
 
 /* Ends the request's body. */
@@ -86,24 +88,24 @@
   if (attempt->body_done || attempt->answer_done)
     return;
   attempt->body_done = 1;
-  if (attempt->link != NULL)
+  if (attempt->accepted)
     {
-      eel_body_write_end (attempt->work.request->framing,
-                          eel_link_output (attempt->link));
+      eel_body_write_end (attempt->framing, eel_link_output (attempt->link));
       eel_link_request_done (attempt->link);
     }
 }
 
-/* Writes what came before the link. */
+/* The receiver has taken the request: writes the body that came before. */
 void
 eel_attempt_send_pending (struct eel_attempt *attempt)
 {
   struct evbuffer *out = eel_link_output (attempt->link);
 
+  attempt->accepted = 1;
   evbuffer_add_buffer (out, attempt->pending);
   if (attempt->body_done)
     {
-      eel_body_write_end (attempt->work.request->framing, out);
+      eel_body_write_end (attempt->framing, out);
       eel_link_request_done (attempt->link);
     }
 }
@@ -119,12 +121,11 @@
   return bytes;
 }
 
-/* True once bytes may have reached an endpoint, or its node, that may run it.
- */
+/* True once an endpoint, or a node that may pass it on, has the request. */
 int
 eel_attempt_may_have_run (const struct eel_attempt *attempt)
 {
-  return attempt->link != NULL;
+  return attempt->accepted && attempt->link != NULL;
 }
 
 /* Stops or resumes reading the answer. */
@@ -182,11 +183,12 @@
                          work->instance_id);
   if (to_peer)
     evbuffer_add_printf (
-        out, "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 "\r\n",
+        out,
+        "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64 "\r\n",
         EEL_RELAY_CALL, attempt->relay->names.names[work->service], work->route,
         work->rank, work->idempotent,
-        (work->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision);
-  eel_head_write_framing (work->request->framing, work->request->length_bytes,
-                          out);
+        (work->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision,
+        work->request->framing, work->request->length_bytes);
+  eel_head_write_framing (attempt->framing, work->request->length_bytes, out);
   evbuffer_add (out, "\r\n", 2);
 }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -78,11 +78,17 @@
   const struct eel_attempt_ops *ops;
   void *owner;
   struct eel_link *link;
-  /* Body that came before the link was there. */
+  /* Body that came before the receiver took the request. */
   struct evbuffer *pending;
+  enum eel_framing framing;
+  /* The receiver has taken the request; the body may go. */
+  uint8_t accepted;
+  struct event *accept_timer;
+  int64_t accepted_us;
   uint8_t body_done;
   uint8_t queued;
   uint8_t running;
+  uint8_t answer_started;
   uint8_t answer_done;
   int64_t started_us;
   /* What the head of a refusal says; NULL: it's an answer. */
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <event2/event.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
@@ -10,15 +11,32 @@
 
 /* A kept link that was idle for longer may be closing at the other end. */
 #define FRESH_US (8 * EEL_US_PER_S)
+/* A node answers within milliseconds; a lost packet is sent again after 200,
+   and a processor whose share is used up stands still for up to 100. */
+#define ACCEPT_US (350 * EEL_US_PER_MS)
 
 static void
 instance_done (struct eel_attempt *attempt)
 {
+  if (attempt->accept_timer != NULL)
+    event_free (attempt->accept_timer);
+  attempt->accept_timer = NULL;
   if (attempt->running)
     eel_place_done (attempt->instance);
   attempt->running = 0;
 }
 
+static void
+fail (struct eel_attempt *attempt,
+      enum eel_attempt_failure failure,
+      const char *reason)
+{
+  attempt->answer_done = 1;
+  instance_done (attempt);
+  eel_place_failed (attempt->instance, eel_clock_us ());
+  attempt->ops->fail (attempt->owner, failure, reason);
+}
+
 /* Reads what the endpoint's node says of its load. */
 static void
 note_load (struct eel_attempt *attempt, const struct eel_head *head)
@@ -36,6 +54,61 @@
                        attempt->work.route_target_us, &load);
 }
 
+/* The node has taken the request: it gets the body, or its end, and runs it. */
+static void
+on_accepted (void *owner)
+{
+  struct eel_attempt *attempt = owner;
+
+  if (attempt->accepted)
+    return;
+  event_del (attempt->accept_timer);
+  attempt->accepted_us = eel_clock_us ();
+  eel_attempt_send_pending (attempt);
+}
+
+/* Ends lookups that a silent node holds; they run elsewhere. */
+static void
+end_silent (struct eel_pool *pool, int64_t now_us)
+{
+  struct eel_link *link = pool->active;
+
+  while (link != NULL)
+    {
+      struct eel_attempt *attempt = link->owner;
+      struct eel_link *next = link->next;
+
+      if (link->ops != NULL && attempt->work.idempotent && attempt->accepted
+          && !attempt->answer_started
+          && now_us - attempt->accepted_us > ACCEPT_US)
+        {
+          attempt->link = NULL;
+          eel_link_cancel (link);
+          fail (attempt, EEL_FAILURE_BROKEN, "node is silent");
+          /* Any link may have gone meanwhile. */
+          next = pool->active;
+        }
+      link = next;
+    }
+}
+
+/* The node has not taken the request, so it can't run it any more. */
+static void
+on_accept_timeout (evutil_socket_t fd, short what, void *data)
+{
+  struct eel_attempt *attempt = data;
+  struct eel_pool *pool = attempt->link->pool;
+  int64_t now_us = eel_clock_us ();
+
+  (void)fd;
+  (void)what;
+  eel_link_cancel (attempt->link);
+  attempt->link = NULL;
+  fail (attempt, EEL_FAILURE_UNREACHABLE, "node does not take it");
+  if (now_us - pool->heard_us > ACCEPT_US)
+    end_silent (pool, now_us);
+}
+
 static int
 on_head (void *owner, struct eel_head *head)
 {
@@ -43,6 +116,7 @@
   const char *refused = eel_head_get (head, EEL_RELAY_REFUSED);
 
   note_load (attempt, head);
+  attempt->answer_started = 1;
   attempt->is_refusal = (uint8_t)(refused != NULL);
   if (refused != NULL)
     attempt->refusal = eel_attempt_failure_parse (refused);
@@ -85,13 +159,11 @@
 {
   struct eel_attempt *attempt = owner;
 
+  (void)sent;
   attempt->link = NULL;
-  attempt->answer_done = 1;
-  instance_done (attempt);
-  eel_place_failed (attempt->instance, eel_clock_us ());
-  attempt->ops->fail (attempt->owner,
-                      sent ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
-                      reason);
+  fail (attempt,
+        attempt->accepted ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
+        reason);
 }
 
 static void
@@ -104,10 +176,23 @@
 
 static const struct eel_link_ops link_ops = { .head = on_head,
                                               .body = on_body,
+                                              .accepted = on_accepted,
                                               .end = on_end,
                                               .fail = on_fail,
                                               .drained = on_drained };
 
+static int
+start_timer (struct eel_attempt *attempt)
+{
+  const struct timeval limit = { .tv_usec = ACCEPT_US };
+
+  attempt->accept_timer
+      = event_new (attempt->relay->base, -1, 0, on_accept_timeout, attempt);
+  return attempt->accept_timer != NULL
+         && event_add (attempt->accept_timer, &limit) == 0;
+}
+
+/* Sends the head; the rest follows when the node has taken it. */
 static void
 remote_start (struct eel_attempt *attempt)
 {
@@ -115,7 +200,7 @@
       = eel_relay_pool (attempt->relay, attempt->instance->ip);
   struct evbuffer *head = evbuffer_new ();
 
-  if (head != NULL && pool != NULL)
+  if (head != NULL && start_timer (attempt))
     {
       eel_attempt_write_head (attempt, head, 1);
       attempt->link = eel_pool_send (
@@ -126,13 +211,11 @@
     evbuffer_free (head);
   if (attempt->link == NULL)
     {
-      attempt->answer_done = 1;
-      attempt->ops->fail (attempt->owner, EEL_FAILURE_UNREACHABLE, "no socket");
+      fail (attempt, EEL_FAILURE_UNREACHABLE, "no socket");
       return;
     }
   attempt->running = 1;
   eel_place_sent (attempt->instance);
-  eel_attempt_send_pending (attempt);
 }
 
 static void
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -82,6 +82,14 @@
   return "Status";
 }
 
+/* Writes an interim answer. */
+void
+eel_exchange_continue (struct eel_exchange *exchange)
+{
+  evbuffer_add_printf (exchange->out, "HTTP/1.1 100 Continue\r\n\r\n");
+  eel_conn_flush (exchange->conn);
+}
+
 /* Writes the head of the answer. */
 void
 eel_exchange_answer (struct eel_exchange *exchange,
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -159,7 +159,7 @@
 /* Reads what the passing node says of the request; 0 when it is malformed. */
 static int
 read_call (struct eel_relay *relay,
-           const struct eel_head *request,
+           struct eel_head *request,
            struct eel_work *work)
 {
   const struct eel_relay_words *words = relay->config.words;
@@ -170,13 +170,21 @@
   unsigned idempotent;
   long target_ms;
   uint64_t revision;
+  unsigned framing;
+  uint64_t length_bytes;
   int64_t now_us = eel_clock_us ();
 
   if (call == NULL || remaining == NULL
-      || sscanf (call, "%63s %" SCNx64 " %u %u %ld %" SCNu64, service,
-                 &work->route, &rank, &idempotent, &target_ms, &revision)
-             != 6)
+      || sscanf (call, "%63s %" SCNx64 " %u %u %ld %" SCNu64 " %u %" SCNu64,
+                 service, &work->route, &rank, &idempotent, &target_ms,
+                 &revision, &framing, &length_bytes)
+             != 8
+      || framing > EEL_FRAMING_CHUNKED)
     return 0;
+  /* Between nodes every body goes in chunks; the endpoint gets the caller's
+     framing. */
+  request->framing = (enum eel_framing)framing;
+  request->length_bytes = length_bytes;
   if (revision > relay->peer_revision)
     relay->peer_revision = revision;
   work->request = request;
@@ -233,33 +241,51 @@
       refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
-  visit->attempt
-      = eel_attempt_new (relay, &visit->work, NULL, &attempt_ops, visit);
+  /* The passing node sends the body, or its end, only after this. */
+  eel_exchange_continue (exchange);
+}
+
+/*
+ * Passes a piece of the body, or its end, to the run.  The first one starts
+ * the run: until then the passing node may still offer the request to another.
+ */
+static void
+pass_on (struct visit *visit, const char *data, size_t bytes, int end)
+{
+  struct eel_exchange *exchange = visit->exchange;
+  struct eel_relay *relay = visit->relay;
+  int first = visit->attempt == NULL;
+
+  if (first)
+    visit->attempt
+        = eel_attempt_new (relay, &visit->work, NULL, &attempt_ops, visit);
   if (visit->attempt == NULL)
     {
       visit_free (visit);
       refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
-  eel_attempt_start (visit->attempt);
+  if (end)
+    eel_attempt_body_end (visit->attempt);
+  else
+    eel_attempt_body (visit->attempt, data, bytes);
+  if (eel_attempt_pending_bytes (visit->attempt) > BODY_PENDING_MAX)
+    eel_exchange_pause (exchange, 1);
+  /* May end the visit. */
+  if (first)
+    eel_attempt_start (visit->attempt);
 }
 
 static void
 on_request_body (struct eel_exchange *exchange, const char *data, size_t bytes)
 {
-  struct visit *visit = exchange->state;
-
-  eel_attempt_body (visit->attempt, data, bytes);
-  if (eel_attempt_pending_bytes (visit->attempt) > BODY_PENDING_MAX)
-    eel_exchange_pause (exchange, 1);
+  pass_on (exchange->state, data, bytes, 0);
 }
 
 static void
 on_request_end (struct eel_exchange *exchange)
 {
-  struct visit *visit = exchange->state;
-
-  eel_attempt_body_end (visit->attempt);
+  pass_on (exchange->state, NULL, 0, 1);
 }
 
 static void
@@ -273,7 +299,8 @@
 {
   struct visit *visit = exchange->state;
 
-  eel_attempt_pause (visit->attempt, 0);
+  if (visit->attempt != NULL)
+    eel_attempt_pause (visit->attempt, 0);
 }
 
 const struct eel_server_ops eel_executor_ops = { .request = on_request,
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -125,6 +125,8 @@
   struct eel_link *link = owner;
   int interim = head->status >= 100 && head->status < 200;
 
+  if (head->status == 100 && link->ops != NULL && link->ops->accepted != NULL)
+    link->ops->accepted (link->owner);
   read_idle_limit (link, head);
   link->answer_keeps
       = (uint8_t)(head->keep_alive && head->framing != EEL_FRAMING_CLOSE);
@@ -219,8 +221,11 @@
 static void
 on_read (struct bufferevent *bev, void *data)
 {
+  struct eel_link *link = data;
+
   (void)bev;
-  link_feed (data);
+  link->pool->heard_us = eel_clock_us ();
+  link_feed (link);
 }
 
 static void
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -21,6 +21,8 @@
   /* 0: the answer belongs to another request and is dropped. */
   int (*head) (void *owner, struct eel_head *head);
   void (*body) (void *owner, const char *data, size_t bytes);
+  /* An interim answer: the peer has read the request's head.  May be NULL. */
+  void (*accepted) (void *owner);
   /* The link has left the owner when end or fail is called. */
   void (*end) (void *owner);
   /* sent: the request may have reached the peer. */
@@ -37,6 +39,8 @@
   int64_t connect_us;
   /* Silent peers are given up after this; 0 on one machine. */
   uint32_t silence_ms;
+  /* When anything arrived from the peer last. */
+  int64_t heard_us;
   struct eel_link *idle;
   struct eel_link *active;
   /* To be freed once no callback uses them. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -13,6 +13,10 @@
 /* Slots of an endpoint that the registry has not shown yet. */
 #define FIRST_SLOTS 16
 #define TICK_US (100 * EEL_US_PER_MS)
+/* What nodes add to the head of a request. */
+#define PEER_HEAD_BYTES 4096
+/* Longer than peers keep an unused link. */
+#define PEER_IDLE_US (30 * EEL_US_PER_S)
 /* Peers on other VMs are given up after this silence. */
 #define PEER_SILENCE_MS 1500
 
@@ -174,6 +178,9 @@
       relay->entry_gate.last_rank = routes->routes[i].rank;
   relay->gate.last_rank = relay->entry_gate.last_rank;
   relay->callers.limits = *limits;
+  relay->peers.limits = *limits;
+  relay->peers.limits.max_head_bytes += PEER_HEAD_BYTES;
+  relay->peers.limits.idle_us = PEER_IDLE_US;
 }
 
 /* Returns the entry of the endpoint beside this node. */
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -90,6 +90,8 @@
 
 struct eel_server *eel_exchange_server (const struct eel_exchange *exchange);
 struct sockaddr_in eel_exchange_peer (const struct eel_exchange *exchange);
+/* Tells the peer that the head was read, before any answer. */
+void eel_exchange_continue (struct eel_exchange *exchange);
 /*
  * Writes an answer: a status line and lines that end with CRLF, then the body
  * in pieces, then its end.
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -53,6 +53,10 @@
   uint64_t use = expected_use (instance, now_us);
   uint64_t noise = eel_rng_below (rng, 50);
 
+  /* One request at a time tries an endpoint that has failed. */
+  if (instance->failures > 0 && now_us >= instance->avoid_until_us
+      && instance->in_flight > 0)
+    return UINT64_C (1000000);
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
--- a/tests/unit/test_relay.cc
+++ b/tests/unit/test_relay.cc
@@ -507,3 +507,39 @@
              "4\r\nwxyz\r\n0\r\n\r\n");
   EXPECT_EQ (body_of (answer), "abcde");
 }
+
+// Guards against requests that wait for a node that stands still, and against
+// an order that runs there when it wakes, after it has run elsewhere.
+TEST (Relay, RequestsLeaveANodeThatStandsStill)
+{
+  relay_world world (3);
+  std::vector<std::unique_ptr<raw_conn>> callers;
+  struct eel_server &still = world.nodes[2]->relay.peers;
+
+  world.list (1, 100);
+  world.list (2, 100);
+  world.publish ();
+  evconnlistener_disable (still.listener);
+  for (int i = 0; i < 20; i++)
+    {
+      callers.push_back (world.connect ());
+      raw_upstream::write (*callers.back (),
+                           request_text (i % 2 == 0 ? "POST" : "GET",
+                                         i % 2 == 0 ? "/once/1" : "/safe/1",
+                                         "r" + std::to_string (i)));
+    }
+  EXPECT_TRUE (world.run_until (
+      [&] {
+        for (auto &caller : callers)
+          if (caller->in.find (" 200 ") == std::string::npos)
+            return false;
+        return true;
+      },
+      1900));
+  EXPECT_EQ (world.nodes[1]->upstream.requests.size (), 20u);
+  evconnlistener_enable (still.listener);
+  world.run_ms (100);
+  EXPECT_TRUE (world.nodes[2]->upstream.requests.empty ());
+  for (auto &caller : callers)
+    bufferevent_free (caller->bev);
+}
