--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -220,7 +220,7 @@
   struct eel_relay *relay = eel_exchange_server (exchange)->owner;
   struct visit *visit;
 
-  if (relay->stopping)
+  if (relay->refusing)
     {
       refuse (relay, exchange, 0, EEL_FAILURE_LEAVING);
       return;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -13,6 +13,8 @@
 /* Slots of an endpoint that the registry has not shown yet. */
 #define FIRST_SLOTS 16
 #define TICK_US (100 * EEL_US_PER_MS)
+/* Use that a stopping node reports. */
+#define STOPPING_USE_MILLI 1500
 /* What nodes add to the head of a request. */
 #define PEER_HEAD_BYTES 4096
 /* Longer than peers keep an unused link. */
@@ -202,7 +204,7 @@
   eel_relay_pump (relay);
 }
 
-/* Sends peers elsewhere; what is in flight goes on. */
+/* Sends peers elsewhere if they can; what is in flight goes on. */
 void
 eel_relay_stop (struct eel_relay *relay)
 {
@@ -267,6 +269,9 @@
   int64_t now_us = eel_clock_us ();
 
   load->use_milli = eel_gate_use_milli (&relay->gate, now_us);
+  /* Until it refuses, a stopping node gets what finds no room elsewhere. */
+  if (relay->stopping && load->use_milli < STOPPING_USE_MILLI)
+    load->use_milli = STOPPING_USE_MILLI;
   load->wait_us = eel_gate_wait_us (&relay->gate);
   load->below_milli = (uint32_t)eel_entry_gate_below (
       &relay->entry_gate, &relay->call_costs, route, now_us);
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -20,6 +20,16 @@
 /* A shed request costs as much as an endpoint that is twice as full. */
 #define SHED_COST 2000.0
 
+/* Failures in a row after which one request at a time tries an endpoint. */
+#define FAILURES_MANY 2
+
+/* True while a request finds out whether a failing endpoint is back. */
+static int
+is_being_tried (const struct eel_instance *instance)
+{
+  return instance->failures >= FAILURES_MANY && instance->in_flight > 0;
+}
+
 static int
 was_tried (const struct eel_place_query *query, const char *id)
 {
@@ -53,10 +63,6 @@
   uint64_t use = expected_use (instance, now_us);
   uint64_t noise = eel_rng_below (rng, 50);
 
-  /* One request at a time tries an endpoint that has failed. */
-  if (instance->failures > 0 && now_us >= instance->avoid_until_us
-      && instance->in_flight > 0)
-    return UINT64_C (1000000);
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
@@ -81,7 +87,7 @@
       uint64_t instance_cost;
 
       if (instance->service != query->service || !eel_instance_usable (instance)
-          || was_tried (query, instance->id))
+          || is_being_tried (instance) || was_tried (query, instance->id))
         continue;
       instance_cost = cost (instance, now_us, rng);
       if (instance_cost < best_cost)
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -141,6 +141,22 @@
   EXPECT_STREQ (pick (4 * EEL_US_PER_S), "own");
 }
 
+// Guards against requests that pile up at an endpoint that does not answer.
+TEST_F (directory_test, OneRequestAtATimeTriesAFailingEndpoint)
+{
+  struct eel_instance *own;
+
+  put (entry ("own", 1));
+  own = eel_directory_find (&directory, "own");
+  eel_place_failed (own, 0);
+  eel_place_failed (own, 0);
+  EXPECT_STREQ (pick (EEL_US_PER_S), "own");
+  eel_place_sent (own);
+  EXPECT_EQ (pick (EEL_US_PER_S), nullptr);
+  eel_place_answered (own, 100, EEL_US_PER_S);
+  EXPECT_STREQ (pick (EEL_US_PER_S), "own");
+}
+
 // Guards against preference for an endpoint that sheds and looks idle.
 TEST_F (directory_test, SheddingEndpointLosesItsDomainsPreference)
 {
