--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -81,15 +81,18 @@
 
   eel_metric_add (
       status == 503 ? relay->counters.refused : relay->counters.failed, 1);
-  g_message ("event=not_served request=%s error=%s status=%u service=%s "
-             "rank=%u tried=%u arrivals=%u may_have_run=%u "
-             "after_ms=%" PRId64 " left_ms=%" PRId64,
-             entry->work.request_id != NULL ? entry->work.request_id : "-",
-             eel_error_info (told)->name, status,
-             relay->names.names[entry->work.service], entry->work.rank,
-             entry->tried_count, entry->arrivals, entry->may_have_run,
-             (now_us - entry->arrived_us) / EEL_US_PER_MS,
-             (entry->work.deadline_us - now_us) / EEL_US_PER_MS);
+  g_message (
+      "event=not_served request=%s error=%s status=%u service=%s "
+      "rank=%u tried=%u arrivals=%u may_have_run=%u "
+      "after_ms=%" PRId64 " left_ms=%" PRId64 " pressure=%.0f refuse=%.2f",
+      entry->work.request_id != NULL ? entry->work.request_id : "-",
+      eel_error_info (told)->name, status,
+      relay->names.names[entry->work.service], entry->work.rank,
+      entry->tried_count, entry->arrivals, entry->may_have_run,
+      (now_us - entry->arrived_us) / EEL_US_PER_MS,
+      (entry->work.deadline_us - now_us) / EEL_US_PER_MS,
+      eel_entry_gate_pressure (&relay->entry_gate, entry->work.route, now_us),
+      eel_entry_gate_refuse (&relay->entry_gate, entry->work.route));
   eel_entry_free (entry);
   eel_entry_refuse (exchange, told, after_us);
 }
