Place by use among the endpoints of the own domain

Change: the least used one, with a fifth of the limit as noise.

Test: directory_test.LeastUsedOfTheOwnDomain fails before.

--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -10,8 +10,8 @@
  * Choice of an endpoint for one request among those that a directory lists.
  *
  * Answers the load in which own failure domain has room most of the time and
- * bytes to other domains are dear: the own domain's endpoint is used until it
- * is nearly full, then the least used of all.
+ * bytes to other domains are dear: the least used endpoint of the own domain,
+ * until all of them are nearly full, then the least used of all.
  */
 
 /* Use of the limit, in thousandths, above which requests leave the domain. */
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -12,6 +12,8 @@
 #define AVOID_MOST_US (2 * EEL_US_PER_S)
 /* A cold endpoint runs work at about half of its speed. */
 #define COLD_PERCENT 200
+/* Many senders see the same reports: they must not all pick the same one. */
+#define NOISE_MILLI 200
 
 /* Weight of one answer in the share of shed requests. */
 #define SHED_WEIGHT 0.1
@@ -61,13 +63,13 @@
 cost (const struct eel_instance *instance, int64_t now_us, struct eel_rng *rng)
 {
   uint64_t use = expected_use (instance, now_us);
-  uint64_t noise = eel_rng_below (rng, 50);
+  uint64_t noise = eel_rng_below (rng, NOISE_MILLI);
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL)
-    return noise;
+    return use + noise;
   return 1000 + use + noise + (uint64_t)(SHED_COST * instance->shed_rate);
 }
 
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -123,6 +123,22 @@
   EXPECT_STREQ (pick (2), "far");
 }
 
+// Guards against a slow endpoint that gets as many requests as fast ones.
+TEST_F (directory_test, LeastUsedOfTheOwnDomain)
+{
+  int slow = 0;
+
+  for (const char *id : { "a", "b", "slow" })
+    {
+      put (entry (id, 1));
+      eel_place_answered (eel_directory_find (&directory, id),
+                          id[0] == 's' ? 800 : 300, 1);
+    }
+  for (int i = 0; i < 100; i++)
+    slow += strcmp (pick (2), "slow") == 0;
+  EXPECT_EQ (slow, 0);
+}
+
 // Guards against an endpoint that fails and is tried by every request, and
 // against one that is never tried again.
 TEST_F (directory_test, FailingEndpointIsAvoidedForAWhile)
