Add a fault soak of the platform's daemon

Real processes against the stand-ins of the store and of endpoints; nodes are killed, stopped, paused and restarted, endpoints killed, paused and drained, the store goes away or forgets, configurations come, also older ones; at the end a planned stop under a kept connection. Checked from what callers and endpoints saw. Left out so far: the loopback proxy that delays, cuts or silences connections.

--- a/Makefile
+++ b/Makefile
@@ -159,6 +159,11 @@
 fuzz: all
 	BUILD=$(BUILD) SEED=$(SEED) STEPS=$(STEPS) sh tools/fuzz.sh
 
+# One seeded run with faults from outside the processes.
+soak: all
+	BUILD=$(BUILD) SEED=$(SEED) SECONDS_MAX=$(or $(SECONDS),20) \
+		sh tests/soak/soak.sh
+
 demo: deps
 	$(MAKE) all
 	BUILD=$(BUILD) sh tools/demo.sh
@@ -211,7 +216,7 @@
 clean:
 	rm -rf build build-sanitize
 
-.PHONY: all platform deps check fuzz demo bench capacity format format-check lint \
+.PHONY: all platform deps check fuzz soak demo bench capacity format format-check lint \
 	install clean
 .SECONDARY:
 
--- /dev/null
+++ b/tests/soak/check.awk
@@ -0,0 +1,21 @@
+# First file: runs, "id method target service"; second: answers of callers,
+# "id method status echoed-id".
+FNR == NR { if ($1 != "probe") runs[$1]++; next }
+{
+	answers++
+	served += $3 == 200
+	if ($2 == "POST" && runs[$1] > 1)
+		violation("order " $1 " ran " runs[$1] " times")
+	if ($2 == "POST" && ($3 == 503 || $3 == 429) && runs[$1] > 0)
+		violation("order " $1 " was refused with " $3 " and ran")
+	if ($3 == 200 && runs[$1] == 0)
+		violation($1 " was answered 200 and never ran")
+	if ($3 == 200 && $4 != $1)
+		violation($1 " got the answer of " $4)
+}
+function violation(text) { print "VIOLATION " text; bad = 1 }
+END {
+	print answers " answers, " served " served"
+	if (served * 2 < answers) violation("less than half was served")
+	exit bad
+}
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,183 @@
+#!/bin/sh
+# Runs real processes for SECONDS and injects faults that SEED draws: nodes
+# killed, stopped, paused and restarted, endpoints killed, the store away or
+# without its history, configurations and drains in series.  Then checks from
+# what callers and endpoints saw: an order ran at most once; one that was
+# refused never ran; one that was answered 200 ran; each answer is the caller's
+# own; configurations never went back; planned stops ended with exit code 0 and
+# cut no request; an endpoint that leaves gets no work after 3 s.
+set -eu
+SEED=${SEED:-1}
+SECONDS_MAX=${SECONDS_MAX:-20}
+. tools/platform_fleet.sh
+trap fleet_stop EXIT INT TERM
+
+VMS="2 3 4"
+state=$SEED
+
+# Draws a number below $1 into $drawn, from a linear congruential generator.
+draw()
+{
+	state=$(((state * 1103515245 + 12345) % 2147483648))
+	drawn=$((state / 65536 % $1))
+}
+
+draw_vm()
+{
+	draw 3
+	vm=$((drawn + 2))
+}
+
+# One caller: requests one after the other until the end, a line for each.
+caller()
+{
+	n=0
+	while [ ! -e "$FLEET_DIR/end" ]; do
+		n=$((n + 1))
+		id=c$1-$n
+		target=/safe/x
+		method=GET
+		[ $((n % 2)) -eq 0 ] || { target=/once/x; method=POST; }
+		code=$(curl -s -m 4 -o "$FLEET_DIR/body$1" -D "$FLEET_DIR/head$1" -w '%{http_code}' \
+			-X $method -H "Host: shop.example" -H "X-Attempt-Id: $id" \
+			-H "X-Deadline-Remaining-Ms: 3000" \
+			"http://127.0.0.$2:$((FLEET_PORT + 2))$target" || true)
+		echoed=$(sed -n 's/^X-Attempt-Id: \([^\r]*\).*/\1/p' "$FLEET_DIR/head$1" 2>/dev/null || true)
+		echo "$id $method $code ${echoed:--}"
+	done >"$FLEET_DIR/caller$1"
+}
+
+restart_node()
+{
+	cat "$FLEET_DIR/node$1.out" >>"$FLEET_DIR/node$1.log"
+	echo "restarted" >>"$FLEET_DIR/node$1.log"
+	fleet_node "$1"
+}
+
+restart_endpoint()
+{
+	cat "$FLEET_DIR/endpoint$1.out" >>"$FLEET_DIR/runs"
+	: >"$FLEET_DIR/endpoint$1.out"
+	for old in $(sed -n "s/^$1 //p" "$FLEET_DIR/ids"); do
+		store_order "remove?key=servers/$old" >/dev/null
+	done
+	epoch=$((epoch + 1))
+	echo "$1 up-$1-$epoch" >>"$FLEET_DIR/ids"
+	fleet_endpoint "$1" "up-$1-$epoch" 20
+	fleet_entry "$1" "up-$1-$epoch" ready
+}
+
+# The endpoint's requests a second after its time to leave, and a second later.
+drain_endpoint()
+{
+	fleet_entry "$1" "$(sed -n "s/^$1 //p" "$FLEET_DIR/ids" | tail -1)" draining
+	sleep 3
+	before=$(grep -vc '^probe' "$FLEET_DIR/endpoint$1.out" || true)
+	sleep 1
+	after=$(grep -vc '^probe' "$FLEET_DIR/endpoint$1.out" || true)
+	[ "$before" -eq "$after" ] || { echo "VIOLATION endpoint $1 got work after it had left"; bad=1; }
+	kill -KILL "$(fleet_pid endpoint$1)"
+	restart_endpoint "$1"
+}
+
+# A planned stop while requests follow each other on one kept connection.
+stop_with_kept_connection()
+{
+	fleet_until fleet_gives 200 2 /safe/x
+	urls=""
+	for n in 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 16 17 18 19 20; do
+		urls="$urls -o /dev/null http://127.0.0.2:$((FLEET_PORT + 2))/safe/k"
+	done
+	# shellcheck disable=SC2086
+	curl -s -w '%{http_code}\n' -H "Host: shop.example" -H "X-Attempt-Id: kept" \
+		-H "X-Deadline-Remaining-Ms: 3000" $urls >"$FLEET_DIR/kept" &
+	pid=$!
+	sleep 0.2
+	kill -TERM "$(fleet_pid node2)"
+	wait $pid || true
+	cut=$(grep -c '^000' "$FLEET_DIR/kept" || true)
+	[ "$cut" -eq 0 ] || { echo "VIOLATION $cut requests cut by a planned stop"; bad=1; }
+}
+
+fault()
+{
+	draw_vm
+	draw 11
+	echo "fault $drawn vm $vm"
+	case $drawn in
+	0) kill -KILL "$(fleet_pid node$vm)"; sleep 0.2; restart_node $vm ;;
+	1)
+		pid=$(fleet_pid node$vm)
+		kill -TERM "$pid"
+		code=0
+		wait "$pid" || code=$?
+		[ $code -eq 0 ] || { echo "VIOLATION exit code $code after SIGTERM"; bad=1; }
+		restart_node $vm
+		;;
+	2) kill -STOP "$(fleet_pid node$vm)"; sleep 1; kill -CONT "$(fleet_pid node$vm)" ;;
+	3) kill -KILL "$(fleet_pid endpoint$vm)"; sleep 0.2; restart_endpoint $vm ;;
+	4) kill -STOP "$(fleet_pid endpoint$vm)"; sleep 0.5; kill -CONT "$(fleet_pid endpoint$vm)" ;;
+	5) store_order down >/dev/null; sleep 1; store_order up >/dev/null ;;
+	6) store_order forget >/dev/null ;;
+	7)
+		version=$((version + 2))
+		fleet_config $version /safe/ /once/
+		;;
+	9) fleet_config $((version - 1)) /safe/ ;;
+	10) drain_endpoint $vm ;;
+	8) kill -HUP "$(fleet_pid node$vm)" ;;
+	esac
+}
+
+fleet_store 2
+epoch=0
+version=1
+bad=0
+: >"$FLEET_DIR/runs"
+for vm in $VMS; do
+	echo "$vm up-$vm" >>"$FLEET_DIR/ids"
+	fleet_endpoint $vm up-$vm 20
+	fleet_node $vm
+	fleet_entry $vm up-$vm ready
+done
+fleet_config 1 /safe/ /once/
+for vm in $VMS; do
+	fleet_until fleet_is_ready $vm
+	fleet_until fleet_gives 200 $vm /safe/x
+done
+callers=""
+for vm in $VMS; do
+	caller $vm $vm &
+	callers="$callers $!"
+	caller 1$vm $vm &
+	callers="$callers $!"
+done
+end=$(($(date +%s) + SECONDS_MAX))
+while [ "$(date +%s)" -lt $end ]; do
+	fault
+	draw 5
+	sleep 0.$((drawn + 1))
+done
+touch "$FLEET_DIR/end"
+for pid in $callers; do
+	wait "$pid" || true
+done
+stop_with_kept_connection
+sleep 0.5
+cat "$FLEET_DIR"/endpoint?.out >>"$FLEET_DIR/runs"
+cat "$FLEET_DIR"/caller* >"$FLEET_DIR/answers"
+for vm in $VMS; do
+	cat "$FLEET_DIR/node$vm.out" >>"$FLEET_DIR/node$vm.log"
+done
+if [ -n "${SOAK_KEEP:-}" ]; then
+	cp -r "$FLEET_DIR" "$SOAK_KEEP"
+fi
+awk -f tests/soak/check.awk "$FLEET_DIR/runs" "$FLEET_DIR/answers" || bad=1
+awk '/^restarted$/ { last = -1 }
+	/event=config_in_force/ { split($0, part, "version="); v = part[2] + 0
+		if (v < last) { print "VIOLATION configuration went back to " v; bad = 1 }
+		last = v }
+	FNR == 1 { last = -1 }
+	END { exit bad }' "$FLEET_DIR"/node?.log || bad=1
+echo "soak seed $SEED: $([ $bad -eq 0 ] && echo kept || echo broken)"
+exit $bad
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -45,6 +45,7 @@
 		run "fuzz seed $seed" env BUILD="$BUILD" SEED=$seed STEPS=50000 sh tools/fuzz.sh
 	done
 fi
+run "soak seed 1" env BUILD="$BUILD" SEED=1 SECONDS_MAX=8 sh tests/soak/soak.sh
 [ -s KNOWN-RED.txt ] && cat KNOWN-RED.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- /dev/null
+++ b/tools/soak_faults.sh
@@ -0,0 +1,49 @@
+#!/bin/sh
+# Shows that the soak bites: each deliberate fault, built into a copy of the
+# tree, must be found within a few seeds.
+set -u
+top=$(pwd)
+found=0
+missed=0
+
+# try NAME FILE SED-EXPRESSION
+try()
+{
+	copy=$(mktemp -d)
+	git ls-files -z | xargs -0 cp --parents -t "$copy"
+	(
+		cd "$copy" || exit 2
+		sed -i "$3" "$2"
+		cmp -s "$2" "$top/$2" && exit 2
+		make -s BUILD=build build/eelgrasslatch-platformd build/standin_store \
+			build/standin_endpoint >build.log 2>&1 || exit 2
+		for seed in 1 2 3 4 5 6; do
+			BUILD=build SEED=$seed SECONDS_MAX=${SECONDS_MAX:-15} sh tests/soak/soak.sh >soak.log 2>&1 || {
+				echo "found $1 with seed $seed: $(grep -m 1 VIOLATION soak.log)"
+				exit 0
+			}
+		done
+		exit 1
+	)
+	case $? in
+	0) found=$((found + 1)) ;;
+	1) missed=$((missed + 1)); echo "MISSED $1" ;;
+	*) missed=$((missed + 1)); echo "NOT BUILT $1" ;;
+	esac
+	rm -rf "$copy"
+}
+
+try "order sent again after its answer was lost" src/relay/entry_answer.c \
+	's/(entry->may_have_run && !entry->work.idempotent)/0/'
+try "refusal after a run" src/relay/entry_answer.c \
+	's/    case EEL_FAILURE_BROKEN:/    case EEL_FAILURE_COUNT:/; s/    entry->may_have_run = 1;/    entry->may_have_run = 0;/'
+try "leaving endpoint used" src/membership/directory.c \
+	's/  return instance->state == EEL_INSTANCE_READY/  return instance->state != EEL_INSTANCE_GONE/'
+try "configuration goes back" platform/decode.c \
+	's/          || table->version > platform->relay.routes->version;/          || 1;/'
+try "kept connection dropped at SIGTERM" platform/main.c \
+	's/  eel_relay_stop (&program->platform.relay);/  event_base_loopbreak (program->platform.base);/'
+try "answer of another request passed on" src/relay/attempt_local.c \
+	's/^    return 0;$/    return 1;/'
+echo "$found found, $missed missed"
+[ $missed -eq 0 ]
