--- a/src/http/fields.c
+++ b/src/http/fields.c
@@ -111,41 +111,6 @@
   return count;
 }
 
-/* Returns the reason phrase of a status; it carries no meaning. */
-const char *
-eel_http_reason (unsigned status)
-{
-  static const struct
-  {
-    unsigned status;
-    const char *reason;
-  } reasons[] = { { 200, "OK" },
-                  { 201, "Created" },
-                  { 202, "Accepted" },
-                  { 204, "No Content" },
-                  { 304, "Not Modified" },
-                  { 400, "Bad Request" },
-                  { 401, "Unauthorized" },
-                  { 403, "Forbidden" },
-                  { 404, "Not Found" },
-                  { 409, "Conflict" },
-                  { 410, "Gone" },
-                  { 413, "Content Too Large" },
-                  { 422, "Unprocessable Content" },
-                  { 428, "Precondition Required" },
-                  { 429, "Too Many Requests" },
-                  { 431, "Request Header Fields Too Large" },
-                  { 500, "Internal Server Error" },
-                  { 502, "Bad Gateway" },
-                  { 503, "Service Unavailable" },
-                  { 504, "Gateway Timeout" } };
-
-  for (size_t i = 0; i < sizeof reasons / sizeof *reasons; i++)
-    if (reasons[i].status == status)
-      return reasons[i].reason;
-  return "Other";
-}
-
 /* Returns 1 when an answer of this status to this method has a body. */
 int
 eel_http_status_has_body (unsigned status, const char *method)
--- a/src/http/fields.h
+++ b/src/http/fields.h
@@ -16,7 +16,6 @@
 int eel_http_is_hop_by_hop (const struct eel_headers *headers,
                             const char *name);
 uint32_t eel_http_count (const struct eel_headers *headers, const char *name);
-const char *eel_http_reason (unsigned status);
 int eel_http_status_has_body (unsigned status, const char *method);
 void eel_http_ignore_sigpipe (void);
 
--- a/src/http/front_answer.c
+++ b/src/http/front_answer.c
@@ -1,3 +1,4 @@
+#include "internal/reason.h"
 #include "http/front.h"
 
 #include <event2/buffer.h>
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -139,6 +139,25 @@
     eel_link_pause (attempt->link, pause);
 }
 
+/* Passes a piece of the answer on; that of a refusal is dropped. */
+void
+eel_attempt_on_body (void *owner, const char *data, size_t bytes)
+{
+  struct eel_attempt *attempt = owner;
+
+  if (!attempt->is_refusal)
+    attempt->ops->body (attempt->owner, data, bytes);
+}
+
+/* What was written has left: the body may go on. */
+void
+eel_attempt_on_drained (void *owner)
+{
+  struct eel_attempt *attempt = owner;
+
+  attempt->ops->drained (attempt->owner);
+}
+
 /* Ends the attempt. */
 void
 eel_attempt_free (struct eel_attempt *attempt)
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -123,7 +123,10 @@
 void eel_attempt_write_head (const struct eel_attempt *attempt,
                              struct evbuffer *out,
                              int to_peer);
-/* Sends the body that came before the link. */
+/* Callbacks of a link that both kinds use. */
+void eel_attempt_on_body (void *owner, const char *data, size_t bytes);
+void eel_attempt_on_drained (void *owner);
+/* The receiver has taken the request: sends the body that came before. */
 void eel_attempt_send_pending (struct eel_attempt *attempt);
 int64_t eel_attempt_remaining_ms (const struct eel_attempt *attempt,
                                   int64_t now_us);
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -98,15 +98,6 @@
   return 1;
 }
 
-static void
-on_body (void *owner, const char *data, size_t bytes)
-{
-  struct eel_attempt *attempt = owner;
-
-  if (!attempt->is_refusal)
-    attempt->ops->body (attempt->owner, data, bytes);
-}
-
 static void
 on_end (void *owner)
 {
@@ -135,19 +126,12 @@
               reason);
 }
 
-static void
-on_drained (void *owner)
-{
-  struct eel_attempt *attempt = owner;
-
-  attempt->ops->drained (attempt->owner);
-}
-
-static const struct eel_link_ops link_ops = { .head = on_head,
-                                              .body = on_body,
-                                              .end = on_end,
-                                              .fail = on_fail,
-                                              .drained = on_drained };
+static const struct eel_link_ops link_ops
+    = { .head = on_head,
+        .body = eel_attempt_on_body,
+        .end = on_end,
+        .fail = on_fail,
+        .drained = eel_attempt_on_drained };
 
 /* Sends the request to the endpoint; a slot is held. */
 void
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -125,15 +125,6 @@
   return 1;
 }
 
-static void
-on_body (void *owner, const char *data, size_t bytes)
-{
-  struct eel_attempt *attempt = owner;
-
-  if (!attempt->is_refusal)
-    attempt->ops->body (attempt->owner, data, bytes);
-}
-
 static void
 on_end (void *owner)
 {
@@ -166,20 +157,13 @@
         reason);
 }
 
-static void
-on_drained (void *owner)
-{
-  struct eel_attempt *attempt = owner;
-
-  attempt->ops->drained (attempt->owner);
-}
-
-static const struct eel_link_ops link_ops = { .head = on_head,
-                                              .body = on_body,
-                                              .accepted = on_accepted,
-                                              .end = on_end,
-                                              .fail = on_fail,
-                                              .drained = on_drained };
+static const struct eel_link_ops link_ops
+    = { .head = on_head,
+        .body = eel_attempt_on_body,
+        .accepted = on_accepted,
+        .end = on_end,
+        .fail = on_fail,
+        .drained = eel_attempt_on_drained };
 
 static int
 start_timer (struct eel_attempt *attempt)
--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -326,9 +326,7 @@
 
 /* Takes over an accepted socket; NULL without memory, the socket is closed. */
 struct eel_conn *
-eel_conn_open (struct eel_server *server,
-               int fd,
-               const struct sockaddr_in *peer)
+eel_conn_open (struct eel_server *server, int fd)
 {
   struct eel_conn *conn = calloc (1, sizeof *conn);
 
@@ -343,7 +341,6 @@
     }
   eel_socket_set (fd, CALLER_SILENCE_MS);
   conn->server = server;
-  conn->peer = *peer;
   conn->since_us = eel_clock_us ();
   eel_reader_init (&conn->reader, HTTP_REQUEST, &reader_ops, conn,
                    server->limits.max_head_bytes);
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -11,7 +11,6 @@
   struct eel_conn *next;
   struct eel_conn *previous;
   struct bufferevent *bev;
-  struct sockaddr_in peer;
   struct eel_reader reader;
   /* In the order of the requests. */
   struct eel_exchange *first;
@@ -31,9 +30,7 @@
   uint8_t lingering;
 };
 
-struct eel_conn *eel_conn_open (struct eel_server *server,
-                                int fd,
-                                const struct sockaddr_in *peer);
+struct eel_conn *eel_conn_open (struct eel_server *server, int fd);
 void eel_conn_close (struct eel_conn *conn);
 void eel_conn_free (struct eel_conn *conn);
 /* Reads on after an exchange has left. */
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "internal/reason.h"
 #include "relay/conn.h"
 
 /* Adds an exchange at the end of its connection; NULL without memory. */
@@ -50,38 +51,6 @@
   return exchange->conn->server;
 }
 
-/* Returns the address that the request came from. */
-struct sockaddr_in
-eel_exchange_peer (const struct eel_exchange *exchange)
-{
-  return exchange->conn->peer;
-}
-
-static const char *
-status_text (uint16_t status)
-{
-  static const struct
-  {
-    uint16_t status;
-    const char *text;
-  } texts[] = { { 200, "OK" },
-                { 400, "Bad Request" },
-                { 404, "Not Found" },
-                { 413, "Content Too Large" },
-                { 421, "Misdirected Request" },
-                { 429, "Too Many Requests" },
-                { 431, "Request Header Fields Too Large" },
-                { 500, "Internal Server Error" },
-                { 502, "Bad Gateway" },
-                { 503, "Service Unavailable" },
-                { 504, "Gateway Timeout" } };
-
-  for (size_t i = 0; i < sizeof texts / sizeof *texts; i++)
-    if (texts[i].status == status)
-      return texts[i].text;
-  return "Status";
-}
-
 /* Writes an interim answer. */
 void
 eel_exchange_continue (struct eel_exchange *exchange)
@@ -104,7 +73,8 @@
   exchange->answer_framing = framing;
   if (exchange->conn->server->closing || !exchange->request.keep_alive)
     exchange->close_after = 1;
-  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status, status_text (status));
+  evbuffer_add_printf (out, "HTTP/1.1 %u %s\r\n", status,
+                       eel_http_reason (status));
   if (lines != NULL)
     evbuffer_add_buffer (out, lines);
   eel_head_write_framing (framing, length_bytes, out);
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -340,14 +340,3 @@
 {
   link_close (link);
 }
-
-/* Leaves the rest of the answer to nobody. */
-void
-eel_link_discard (struct eel_link *link)
-{
-  link->ops = NULL;
-  if (!link->request_done)
-    link_close (link);
-  else
-    bufferevent_enable (link->bev, EV_READ);
-}
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -99,7 +99,5 @@
 void eel_link_pause (struct eel_link *link, int pause);
 /* Ends the request by closing the connection; no callback follows. */
 void eel_link_cancel (struct eel_link *link);
-/* Reads the rest of the answer for nobody; no callback follows. */
-void eel_link_discard (struct eel_link *link);
 
 #endif
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -32,8 +32,6 @@
   const char *not_executed;
   /* Names the endpoint that answers instead of the expected one. */
   const char *actual_instance;
-  /* Proves an answer to be the endpoint's. */
-  const char *signature;
 };
 
 /* Fields between nodes. */
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -27,19 +27,18 @@
            void *data)
 {
   struct eel_server *server = data;
-  struct sockaddr_in peer = { 0 };
 
   (void)listener;
+  (void)address;
+  (void)bytes;
   if (server->conn_count >= server->max_conns)
     {
       server->refused++;
       evutil_closesocket (fd);
       return;
     }
-  if (bytes == (int)sizeof peer)
-    memcpy (&peer, address, sizeof peer);
   server->accepted++;
-  eel_conn_open (server, fd, &peer);
+  eel_conn_open (server, fd);
 }
 
 /* Listens at the address; 0 when it can't be bound. */
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -89,7 +89,6 @@
 void eel_server_close_idle (struct eel_server *server);
 
 struct eel_server *eel_exchange_server (const struct eel_exchange *exchange);
-struct sockaddr_in eel_exchange_peer (const struct eel_exchange *exchange);
 /* Tells the peer that the head was read, before any answer. */
 void eel_exchange_continue (struct eel_exchange *exchange);
 /*
--- a/tests/unit/relay_world.cc
+++ b/tests/unit/relay_world.cc
@@ -10,7 +10,6 @@
   .caller_service = "From-Service",
   .not_executed = "Not-Run",
   .actual_instance = "Actual",
-  .signature = "Proof",
 };
 
 static void
