--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,7 @@
 LIB_SO := $(BUILD)/libeelgrasslatch.so
 APP_A := $(BUILD)/libapp.a
 RELAY_A := $(BUILD)/librelay.a
+ADAPTER_A := $(BUILD)/libadapter.a
 PLATFORMD := $(BUILD)/eelgrasslatch-platformd
 # The daemon of the platform links no ZeroMQ and no evhtp, for a quick start.
 PLATFORM_LIBS := $(shell pkg-config --libs libevent glib-2.0 json-glib-1.0 \
@@ -109,10 +110,14 @@
 	@rm -f $@
 	@$(AR) rcs $@ $^
 
-$(PLATFORMD): $(call obj,$(PLATFORM_SRC)) $(RELAY_A) $(LIB_A)
+$(ADAPTER_A): $(call obj,$(filter-out platform/main.c,$(PLATFORM_SRC)))
+	@rm -f $@
+	@$(AR) rcs $@ $^
+
+$(PLATFORMD): $(call obj,platform/main.c) $(ADAPTER_A) $(RELAY_A) $(LIB_A)
 	@echo LD $@
-	@$(CXX) $(LDFLAGS) -Wl,--as-needed -o $@ $(filter %.o,$^) $(RELAY_A) \
-		$(LIB_A) $(PLATFORM_LIBS)
+	@$(CXX) $(LDFLAGS) -Wl,--as-needed -o $@ $(filter %.o,$^) $(ADAPTER_A) \
+		$(RELAY_A) $(LIB_A) $(PLATFORM_LIBS)
 
 platform: $(PLATFORMD)
 
@@ -143,9 +148,9 @@
 	@echo LD $@
 	@$(link)
 
-$(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(RELAY_A) $(APP_A) $(LIB_A)
+$(BUILD)/unit: $(call obj,$(UNIT_SRC)) $(ADAPTER_A) $(RELAY_A) $(APP_A) $(LIB_A)
 	@echo LD $@
-	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(RELAY_A) $(APP_A) $(LIB_A) $(PKG_LIBS) \
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ADAPTER_A) $(RELAY_A) $(APP_A) $(LIB_A) $(PKG_LIBS) \
 		-lgtest -lgtest_main
 
 deps:
--- a/src/http/front_head.c
+++ b/src/http/front_head.c
@@ -36,6 +36,13 @@
                     "the request line must be METHOD target HTTP/1.1");
       return 0;
     }
+  /* What reads it as text would see another target. */
+  if (memchr (line, 0, bytes) != NULL)
+    {
+      front_refuse (&conn->refusal, BAD, 1,
+                    "the target must be a path of printable ASCII");
+      return 0;
+    }
   conn->minor_version = (uint8_t)(version[7] - '0');
   if (!copy_text (method, sizeof method, line, (size_t)(space - line)))
     method[0] = 0;
--- a/src/node/members.c
+++ b/src/node/members.c
@@ -16,6 +16,28 @@
   return number != 0 ? number : 1;
 }
 
+/* Remembers the name of a service for those who read member records. */
+void
+node_service_note (struct eel_node *node, const char *name)
+{
+  if (name[0] == 0 || node->service_name_count == NODE_SERVICES_MAX
+      || node_service_name (node, node_service_number (name)) != NULL)
+    return;
+  node->service_names[node->service_name_count] = strdup (name);
+  if (node->service_names[node->service_name_count] != NULL)
+    node->service_name_count++;
+}
+
+/* Returns the name of a service's number, or NULL. */
+const char *
+node_service_name (const struct eel_node *node, uint16_t number)
+{
+  for (uint32_t i = 0; i < node->service_name_count; i++)
+    if (node_service_number (node->service_names[i]) == number)
+      return node->service_names[i];
+  return NULL;
+}
+
 /* Tells the peers task the address of a node that it may have to call. */
 void
 node_peer_connect (struct eel_node *node, uint32_t id)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -179,6 +179,9 @@
 
 /* members.c */
 uint16_t node_service_number (const char *name);
+/* Remembers the name of a number; NULL for a number that wasn't seen. */
+void node_service_note (struct eel_node *node, const char *name);
+const char *node_service_name (const struct eel_node *node, uint16_t number);
 struct node_service *node_service_get (struct eel_node *node, const char *name);
 void node_members_refresh (struct eel_node *node);
 void node_member_changed (void *data,
--- a/src/node/query.c
+++ b/src/node/query.c
@@ -154,6 +154,18 @@
   return 200;
 }
 
+/* The name where it is known, else the number of the member record. */
+static void
+put_service (const struct eel_node *node, GString *out, uint16_t number)
+{
+  const char *name = node_service_name (node, number);
+
+  if (name != NULL)
+    put_text (out, "service", name);
+  else
+    put_number (out, "service", number);
+}
+
 static uint16_t
 query_members (const struct eel_node *node, GString *out)
 {
@@ -166,7 +178,7 @@
       put_number (out, "node", member->node);
       put_text (out, "address", member->address);
       put_number (out, "domain", member->domain);
-      put_number (out, "service", member->service);
+      put_service (node, out, member->service);
       if (member->state <= EEL_MEMBER_DEAD)
         put_text (out, "state", member_names[member->state]);
       g_string_append_c (out, '}');
--- a/src/node/setup.c
+++ b/src/node/setup.c
@@ -170,6 +170,7 @@
   config.generation = (uint64_t)eel_wall_ms ();
   config.domain = settings->domain_id;
   config.service = node_service_number (settings->service);
+  node_service_note (node, settings->service);
   snprintf (config.address, sizeof config.address, "%.*s:%u",
             (int)sizeof config.address - 8, settings->peer.host,
             settings->peer.port);
@@ -317,6 +318,8 @@
       eel_routing_finish (&node->services[i]->routing);
       free (node->services[i]);
     }
+  for (uint32_t i = 0; i < node->service_name_count; i++)
+    free (node->service_names[i]);
   if (node->block_count > 0)
     {
       eel_coordinator_finish (&node->coordinator);
--- a/src/node/state.h
+++ b/src/node/state.h
@@ -266,6 +266,9 @@
   struct node_table runs;
   struct node_service *services[NODE_SERVICES_MAX];
   uint32_t service_count;
+  /* Names that numbers in member records stand for, as far as seen. */
+  char *service_names[NODE_SERVICES_MAX];
+  uint32_t service_name_count;
   uint64_t services_refused;
   uint64_t vms_ignored;
   struct node_peer peers[NODE_PEERS_MAX];
--- a/tests/unit/test_front_refusals.cc
+++ b/tests/unit/test_front_refusals.cc
@@ -33,6 +33,11 @@
 }();
 
 const refused_case malformed[] = {
+  { "NUL in the target",
+    std::string ("GET /a\0b HTTP/1.1\r\n", 20)
+        + "Host: node\r\nEel-Service: orders\r\n\r\n",
+    "400 Bad Request", "bad_request",
+    "the target must be a path of printable ASCII" },
   { "both lengths",
     post ("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", "0\r\n\r\n"),
     "400 Bad Request", "bad_request", both_lengths },
--- a/tests/unit/test_node_control.cc
+++ b/tests/unit/test_node_control.cc
@@ -198,4 +198,7 @@
     }
   EXPECT_NE (world.query (1, "status", nullptr).find ("\"upstream\":\"up\""),
              std::string::npos);
+  // A number says nothing to an operator.
+  EXPECT_NE (world.query (1, "members", nullptr).find ("\"service\":\""),
+             std::string::npos);
 }
