--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -54,6 +54,15 @@
 	fleet_until fleet_gives 200 2 /late/x
 	fleet_until fleet_gives 200 3 /late/x
 	fleet_ask 3 a9 /late/x
+	echo "== a watch ends without the change that was made meanwhile"
+	store_order deaf
+	fleet_config 13 /late/ /extra/
+	# Longer than a watch.
+	sleep 5
+	store_order hear
+	fleet_until fleet_gives 200 2 /extra/x
+	fleet_until fleet_gives 200 3 /extra/x
+	fleet_ask 3 a11 /extra/x
 	echo "== metrics"
 	curl -s "http://127.0.0.3:9464/metrics" | grep -c '^eel_relay_latency_seconds_bucket'
 	echo "== planned stop"
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -12,7 +12,7 @@
 /*
  * Stand-in of the platform's metadata store: ranges in pages, watches, and
  * faults on order.  Control: PUT /put?key=K with the value, POST
- * /remove?key=K, /down, /up, /forget (the history), /calls.
+ * /remove?key=K, /down, /up, /forget (the history), /deaf, /hear, /calls.
  */
 
 #define ITEMS_MAX 512
@@ -45,6 +45,8 @@
   uint64_t calls;
   int page;
   int down;
+  /* Watches end without the changes that are made meanwhile. */
+  int deaf;
 } store = { .revision = 1, .page = 500 };
 
 static void
@@ -139,7 +141,7 @@
   GString *text = g_string_new ("{\"events\":[");
   int first = 1;
 
-  for (int i = 0; i < store.count; i++)
+  for (int i = 0; i < store.count && !store.deaf; i++)
     if (store.items[i].revision > wait->after
         && strncmp (store.items[i].key, wait->prefix, strlen (wait->prefix))
                == 0)
@@ -239,15 +241,16 @@
       = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
   char text[64] = "ok\n";
 
-  (void)data;
   if (strcmp (path, "/down") == 0 || strcmp (path, "/up") == 0)
     store.down = strcmp (path, "/down") == 0;
+  else if (strcmp (path, "/deaf") == 0 || strcmp (path, "/hear") == 0)
+    store.deaf = strcmp (path, "/deaf") == 0;
   else if (strcmp (path, "/forget") == 0)
     store.history_from = store.revision + 1;
   else
     snprintf (text, sizeof text, "%" PRIu64 "\n", store.calls);
   /* What waits is cut off when the store goes away. */
-  for (int i = 0; i < WAITS_MAX && strcmp (path, "/calls") != 0; i++)
+  for (int i = 0; i < WAITS_MAX && (store.down || data != NULL); i++)
     if (store.waits[i].request != NULL)
       {
         reply (store.waits[i].request, 503, "");
@@ -277,6 +280,7 @@
   evhttp_set_cb (http, "/api/kv-watch", on_watch, NULL);
   evhttp_set_cb (http, "/put", on_change, NULL);
   evhttp_set_cb (http, "/remove", on_change, &store);
+  evhttp_set_cb (http, "/forget", on_order, &store);
   evhttp_set_gencb (http, on_order, NULL);
   socket = evhttp_bind_socket_with_handle (http, "127.0.0.1", 0);
   if (socket == NULL)
