Count pressure only for routes that suffer from it

Change: the entry gate keeps the share of admitted requests of a route that fail or are late; below 3% its pressure doesn't count.

--- a/include/eelgrasslatch/entry_gate.h
+++ b/include/eelgrasslatch/entry_gate.h
@@ -24,6 +24,10 @@
   /* Expected wait of a request in thousandths of its route's target. */
   double pressure_milli;
   int64_t reported_us;
+  /* Share of admitted requests that failed or were late; all, until some have
+     ended well. */
+  double bad_share;
+  int64_t outcome_us;
   /* Share of requests that is refused. */
   double refuse;
   int64_t updated_us;
@@ -43,6 +47,14 @@
                             uint64_t route,
                             double pressure_milli,
                             int64_t now_us);
+/*
+ * An admitted request has ended.  Pressure counts only for a route that suffers
+ * from it: what runs of a route call is an estimate and may be wrong.
+ */
+void eel_entry_gate_ended (struct eel_entry_gate *gate,
+                           uint64_t route,
+                           int bad,
+                           int64_t now_us);
 /* Returns 0 when the request is to be refused. */
 int eel_entry_gate_admit (struct eel_entry_gate *gate,
                           uint64_t route,
--- a/src/admission/entry_gate.c
+++ b/src/admission/entry_gate.c
@@ -20,7 +20,13 @@
 #define REFUSE_MAX 0.95
 /* Time constant of the reported pressure, and how long it counts. */
 #define PRESSURE_WINDOW_US (150.0 * 1000.0)
+#define SAMPLE_WEIGHT_LEAST 0.05
 #define PRESSURE_LIFE_US (600 * EEL_US_PER_MS)
+/* A route of which less fails or is late doesn't suffer from pressure. */
+#define BAD_LEAST 0.03
+/* Time constant of that share, and how long it counts. */
+#define BAD_WINDOW_US (500.0 * 1000.0)
+#define BAD_LIFE_US (1 * EEL_US_PER_S)
 /* Fewer calls for each run than this are taken for noise. */
 #define CALLS_LEAST 0.3
 
@@ -58,9 +64,19 @@
   memset (oldest, 0, sizeof *oldest);
   oldest->route = route;
   oldest->updated_us = now_us;
+  oldest->bad_share = 1;
   return oldest;
 }
 
+/* Weight of one sample; several at one moment count too. */
+static double
+sample_weight (int64_t passed_us, double window_us)
+{
+  double weight = 1 - exp (-(double)passed_us / window_us);
+
+  return weight < SAMPLE_WEIGHT_LEAST ? SAMPLE_WEIGHT_LEAST : weight;
+}
+
 /* Adds one report to the smoothed pressure. */
 void
 eel_entry_gate_report (struct eel_entry_gate *gate,
@@ -69,12 +85,9 @@
                        int64_t now_us)
 {
   struct eel_entry_gate_route *state = find_or_add (gate, route, now_us);
-  double passed_us = (double)(now_us - state->reported_us);
-  double weight = 1 - exp (-passed_us / PRESSURE_WINDOW_US);
+  double weight
+      = sample_weight (now_us - state->reported_us, PRESSURE_WINDOW_US);
 
-  /* Several reports at one moment count too. */
-  if (weight < 0.05)
-    weight = 0.05;
   state->pressure_milli += weight * (pressure_milli - state->pressure_milli);
   state->reported_us = now_us;
 }
@@ -122,6 +135,27 @@
   return greatest;
 }
 
+/* Adds one outcome to the share of bad ones. */
+void
+eel_entry_gate_ended (struct eel_entry_gate *gate,
+                      uint64_t route,
+                      int bad,
+                      int64_t now_us)
+{
+  struct eel_entry_gate_route *state = find_or_add (gate, route, now_us);
+  double weight = sample_weight (now_us - state->outcome_us, BAD_WINDOW_US);
+
+  state->bad_share += weight * ((bad ? 1 : 0) - state->bad_share);
+  state->outcome_us = now_us;
+}
+
+static int
+suffers (const struct eel_entry_gate_route *state, int64_t now_us)
+{
+  return state->bad_share > BAD_LEAST
+         || now_us - state->outcome_us > BAD_LIFE_US;
+}
+
 static double
 allowed_milli (const struct eel_entry_gate *gate, uint8_t rank)
 {
@@ -137,7 +171,9 @@
         uint8_t rank,
         int64_t now_us)
 {
-  double pressure = eel_entry_gate_pressure (gate, state->route, now_us);
+  double pressure = suffers (state, now_us)
+                        ? eel_entry_gate_pressure (gate, state->route, now_us)
+                        : 0;
   double excess = pressure / allowed_milli (gate, rank) - 1;
   double passed_s = (double)(now_us - state->updated_us) / EEL_US_PER_S;
 
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -68,6 +68,16 @@
   return error;
 }
 
+/* Tells the gate how an admitted request has ended. */
+static void
+note_end (struct eel_entry *entry, int failed)
+{
+  int64_t now_us = eel_clock_us ();
+
+  eel_entry_gate_ended (&entry->relay->entry_gate, entry->work.route,
+                        failed || now_us > entry->work.target_us, now_us);
+}
+
 /* Answers with an error of this node. */
 void
 eel_entry_answer_error (struct eel_entry *entry, enum eel_error error)
@@ -93,6 +103,8 @@
       (entry->work.deadline_us - now_us) / EEL_US_PER_MS,
       eel_entry_gate_pressure (&relay->entry_gate, entry->work.route, now_us),
       eel_entry_gate_refuse (&relay->entry_gate, entry->work.route));
+  if (entry->tried_count > 0)
+    note_end (entry, 1);
   eel_entry_free (entry);
   eel_entry_refuse (exchange, told, after_us);
 }
@@ -217,6 +229,7 @@
       frame_held (entry);
       commit (entry);
     }
+  note_end (entry, entry->status >= 500);
   eel_metric_add (entry->relay->counters.served, 1);
   eel_metric_observe (entry->relay->counters.latency, took_us);
   eel_entry_free (entry);
--- a/tests/unit/test_entry_gate.cc
+++ b/tests/unit/test_entry_gate.cc
@@ -196,3 +196,28 @@
     }
   EXPECT_EQ (refused, 0);
 }
+
+// Guards against a route that is refused for pressure that it doesn't feel:
+// which services lie below it is an estimate.
+TEST (EntryGate, RefusesNothingOfARouteThatEndsWell)
+{
+  struct eel_entry_gate gate;
+  struct eel_rng rng;
+  int refused[2] = {};
+
+  eel_rng_init (&rng, 1);
+  eel_entry_gate_init (&gate);
+  gate.last_rank = 2;
+  for (int64_t ms = 0; ms < 8000; ms += 20)
+    for (int route = 0; route < 2; route++)
+      {
+        int64_t now_us = ms * EEL_US_PER_MS;
+
+        eel_entry_gate_report (&gate, route, ms < 2000 ? 0 : 2000, now_us);
+        refused[route] += !eel_entry_gate_admit (&gate, route, 2, now_us, &rng);
+        eel_entry_gate_ended (&gate, route,
+                              route == 1 && eel_rng_unit (&rng) < 0.5, now_us);
+      }
+  EXPECT_EQ (refused[0], 0);
+  EXPECT_GT (refused[1], 200);
+}
