--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -63,6 +63,15 @@
 	fleet_until fleet_gives 200 2 /extra/x
 	fleet_until fleet_gives 200 3 /extra/x
 	fleet_ask 3 a11 /extra/x
+	echo "== the store was away for a moment and is quiet after that"
+	lost=$(grep -c event=store_lost "$FLEET_DIR/node2.out" || true)
+	back=$(grep -c event=store_back "$FLEET_DIR/node2.out" || true)
+	store_order down
+	fleet_until sh -c "[ \$(grep -c event=store_lost $FLEET_DIR/node2.out) -gt $lost ]"
+	store_order up
+	fleet_until sh -c "[ \$(grep -c event=store_back $FLEET_DIR/node2.out) -gt $back ]"
+	sleep 3
+	echo "lost $(($(grep -c event=store_lost "$FLEET_DIR/node2.out") - lost)) times"
 	echo "== metrics"
 	curl -s "http://127.0.0.3:9464/metrics" | grep -c '^eel_relay_latency_seconds_bucket'
 	echo "== planned stop"
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -195,6 +195,7 @@
   query (request, "prefix", wait->prefix, sizeof wait->prefix);
   query (request, "waitMs", text, sizeof text);
   limit.tv_sec = strtol (text, NULL, 10) / 1000;
+  limit.tv_usec = strtol (text, NULL, 10) % 1000 * 1000;
   if (answer_wait (wait, 0))
     return;
   wait->timer = event_new (store.base, -1, 0, on_timeout, wait);
