Hold back requests that crash endpoints on the platform's path

Change: the node beside an endpoint takes runs that broke off within 2 s before the endpoint refuses a connection for suspects, unless a request of the same content has ended well in the last 10 s; nodes tell each other the newest entry with each request and answer while there is one; the request that was the only suspect of a second crash is answered 503 at the entry. Requests with a body are left out: their content isn't known when they are placed.

--- a/include/eelgrasslatch/quarantine.h
+++ b/include/eelgrasslatch/quarantine.h
@@ -50,6 +50,17 @@
                           uint64_t fingerprint,
                           int64_t remaining_us,
                           int64_t now_us);
+/*
+ * Adds what another node reported of a fingerprint, suspect or refused;
+ * returns 1 if it is news here.
+ */
+int eel_quarantine_learn (struct eel_quarantine *quarantine,
+                          const struct eel_quarantine_entry *reported,
+                          int64_t remaining_us,
+                          int64_t now_us);
+/* The entry that expires last, or NULL when none is in force. */
+const struct eel_quarantine_entry *
+eel_quarantine_newest (const struct eel_quarantine *quarantine, int64_t now_us);
 /* Copies up to max refused entries, for spreading to other nodes. */
 size_t eel_quarantine_refused (struct eel_quarantine *quarantine,
                                struct eel_quarantine_entry *out,
--- a/src/error/error.c
+++ b/src/error/error.c
@@ -68,6 +68,9 @@
   [EEL_ERROR_QUARANTINED]
   = { "quarantined", 403, REFUSED, NONE, 0,
       "a request of this content has crashed upstreams twice" },
+  [EEL_ERROR_CRASHES_UPSTREAMS]
+  = { "crashes_upstreams", 503, REFUSED, SAME, 10000,
+      "a request of this content has crashed upstreams and is held back" },
   [EEL_ERROR_NO_ENDPOINT] = { "no_endpoint", 503, REFUSED, SAME, 500,
                               "no endpoint of the service can be reached" },
   [EEL_ERROR_UPSTREAM_REFUSED]
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "internal/task.h"
+#include "relay/crash.h"
 #include "relay/relay.h"
 
 static const char *const failure_names[EEL_FAILURE_COUNT] = {
@@ -184,13 +185,10 @@
 {
   const struct eel_work *work = &attempt->work;
   const struct eel_relay_words *words = attempt->relay->config.words;
-  const char *const skip[] = { words->remaining_ms,
-                               words->expected_instance,
-                               words->caller_service,
-                               EEL_RELAY_CALL,
-                               EEL_RELAY_LOAD,
-                               EEL_RELAY_REFUSED,
-                               NULL };
+  const char *const skip[] = { words->remaining_ms,   words->expected_instance,
+                               words->caller_service, EEL_RELAY_CALL,
+                               EEL_RELAY_LOAD,        EEL_RELAY_REFUSED,
+                               EEL_RELAY_CRASHED,     NULL };
   int64_t now_us = eel_clock_us ();
 
   evbuffer_add_printf (out, "%s %s HTTP/1.1\r\n", work->request->method,
@@ -203,6 +201,8 @@
   if (work->instance_id != NULL)
     evbuffer_add_printf (out, "%s: %s\r\n", words->expected_instance,
                          work->instance_id);
+  if (to_peer)
+    eel_crash_write (attempt->relay, out);
   if (to_peer)
     evbuffer_add_printf (
         out,
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -53,6 +53,8 @@
   const char *request_id;
   const char *caller_service;
   const char *instance_id;
+  /* 0: not known. */
+  uint64_t fingerprint;
   uint64_t route;
   /* Of the route; 0 where only the passing node knows it. */
   int64_t route_target_us;
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -4,6 +4,7 @@
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/relay.h"
 
 /* A kept link that was idle for longer may be closing at the other end. */
@@ -111,6 +112,7 @@
       return;
     }
   slot_done (attempt, 1);
+  eel_crash_ended (relay, attempt->work.fingerprint);
   attempt->answer_done = 1;
   attempt->ops->end (attempt->owner);
   eel_relay_pump (relay);
@@ -122,6 +124,11 @@
   struct eel_attempt *attempt = owner;
 
   attempt->link = NULL;
+  if (sent)
+    eel_crash_watch_broke (&attempt->relay->crash_watch,
+                           attempt->work.fingerprint, eel_clock_us ());
+  else
+    eel_crash_endpoint_down (attempt->relay);
   local_fail (attempt, sent ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
               reason);
 }
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -7,6 +7,7 @@
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/relay.h"
 
 /* A kept link that was idle for longer may be closing at the other end. */
@@ -116,6 +117,7 @@
   const char *refused = eel_head_get (head, EEL_RELAY_REFUSED);
 
   note_load (attempt, head);
+  eel_crash_read (attempt->relay, head);
   attempt->answer_started = 1;
   attempt->is_refusal = (uint8_t)(refused != NULL);
   if (refused != NULL)
--- /dev/null
+++ b/src/relay/crash.c
@@ -0,0 +1,89 @@
+#include "relay/crash.h"
+
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "internal/hash.h"
+#include "internal/task.h"
+#include "relay/message.h"
+#include "relay/relay.h"
+
+/* Hashes what a request that comes again has in common with the first one. */
+uint64_t
+eel_crash_fingerprint (const struct eel_head *request,
+                       const char *caller_service)
+{
+  const char *target = eel_head_target (request);
+  uint64_t hash;
+
+  if (request->framing == EEL_FRAMING_CHUNKED
+      || (request->framing == EEL_FRAMING_LENGTH && request->length_bytes > 0))
+    return 0;
+  hash = eel_hash64 (caller_service, strlen (caller_service), 0);
+  hash = eel_hash64 (request->method, strlen (request->method), hash);
+  hash = eel_hash64 (target, strlen (target), hash);
+  return hash == 0 ? 1 : hash;
+}
+
+/* Tells another node of the newest entry. */
+void
+eel_crash_write (const struct eel_relay *relay, struct evbuffer *out)
+{
+  int64_t now_us = eel_clock_us ();
+  const struct eel_quarantine_entry *entry
+      = eel_quarantine_newest (&relay->quarantine, now_us);
+
+  if (entry != NULL)
+    evbuffer_add_printf (out, "%s: %" PRIx64 " %u %" PRId64 "\r\n",
+                         EEL_RELAY_CRASHED, entry->fingerprint, entry->state,
+                         (entry->expires_us - now_us) / EEL_US_PER_MS);
+}
+
+/* Learns what another node tells. */
+void
+eel_crash_read (struct eel_relay *relay, const struct eel_head *head)
+{
+  const char *text = eel_head_get (head, EEL_RELAY_CRASHED);
+  struct eel_quarantine_entry entry = { 0 };
+  unsigned state;
+  int64_t left_ms;
+
+  if (text == NULL)
+    return;
+  if (sscanf (text, "%" SCNx64 " %u %" SCNd64, &entry.fingerprint, &state,
+              &left_ms)
+      != 3)
+    {
+      g_message ("event=crash_field_invalid");
+      return;
+    }
+  entry.state = (uint8_t)state;
+  if (eel_quarantine_learn (&relay->quarantine, &entry, left_ms * EEL_US_PER_MS,
+                            eel_clock_us ()))
+    g_message ("event=crash_learned fingerprint=%" PRIx64 " state=%u",
+               entry.fingerprint, state);
+}
+
+/* Clears what may have been in flight at a crash by accident. */
+void
+eel_crash_ended (struct eel_relay *relay, uint64_t fingerprint)
+{
+  if (fingerprint == 0)
+    return;
+  eel_crash_watch_ended (&relay->crash_watch, fingerprint, eel_clock_us ());
+  eel_quarantine_cleared (&relay->quarantine, fingerprint);
+}
+
+/* Blames what broke off just before. */
+void
+eel_crash_endpoint_down (struct eel_relay *relay)
+{
+  uint32_t count = eel_crash_watch_endpoint_down (
+      &relay->crash_watch, &relay->quarantine, eel_clock_us ());
+
+  if (count > 0)
+    g_message ("event=endpoint_crashed suspects=%u known=%u", count,
+               relay->quarantine.count);
+}
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -7,6 +7,7 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
+#include "relay/crash.h"
 
 /* A body up to this long can be sent to another endpoint once more. */
 #define REPLAY_BYTES_MAX 65536
@@ -112,6 +113,8 @@
     .request_id
     = eel_head_get (&exchange->request, relay->config.words->request_id),
     .caller_service = relay->config.service,
+    .fingerprint
+    = eel_crash_fingerprint (&exchange->request, relay->config.service),
     .route = route->id,
     .route_target_us = route->target_us,
     .service = eel_route_split (route),
@@ -151,6 +154,15 @@
   return route;
 }
 
+static int
+is_quarantined (const struct eel_entry *entry)
+{
+  return entry->work.fingerprint != 0
+         && eel_quarantine_check (&entry->relay->quarantine,
+                                  entry->work.fingerprint, entry->arrived_us)
+                == EEL_QUARANTINE_REFUSED;
+}
+
 static void
 on_request (struct eel_exchange *exchange)
 {
@@ -170,6 +182,11 @@
   eel_call_costs_called (&relay->call_costs, route->id);
   eel_retry_share_request (&relay->retries[entry->work.service],
                            entry->arrived_us);
+  if (is_quarantined (entry))
+    {
+      eel_entry_answer_error (entry, EEL_ERROR_CRASHES_UPSTREAMS);
+      return;
+    }
   if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
                              entry->arrived_us, &relay->rng))
     {
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -4,6 +4,7 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
+#include "relay/crash.h"
 #include "relay/entry.h"
 
 /* An answer up to this long is held until it is whole. */
@@ -113,7 +114,8 @@
 static struct evbuffer *
 answer_lines (const struct eel_entry *entry, const struct eel_head *head)
 {
-  const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, NULL };
+  const char *const skip[]
+      = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, NULL };
   struct evbuffer *lines = evbuffer_new ();
 
   (void)entry;
@@ -230,6 +232,7 @@
       commit (entry);
     }
   note_end (entry, entry->status >= 500);
+  eel_crash_ended (entry->relay, entry->work.fingerprint);
   eel_metric_add (entry->relay->counters.served, 1);
   eel_metric_observe (entry->relay->counters.latency, took_us);
   eel_entry_free (entry);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -7,6 +7,7 @@
 
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/relay.h"
 
 /*
@@ -51,6 +52,8 @@
     evbuffer_add_printf (lines, "%s: %u %" PRId64 " %u %" PRIu64 "\r\n",
                          EEL_RELAY_LOAD, load.use_milli, load.wait_us,
                          load.below_milli, load.revision);
+  if (lines != NULL)
+    eel_crash_write (relay, lines);
   return lines;
 }
 
@@ -76,7 +79,8 @@
 static void
 on_head (void *owner, const struct eel_head *head)
 {
-  const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, NULL };
+  const char *const skip[]
+      = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, NULL };
   struct visit *visit = owner;
   struct evbuffer *lines = load_lines (visit->relay, visit->work.route);
 
@@ -194,6 +198,9 @@
   work->service = eel_service_number (&relay->names, service);
   work->rank = (uint8_t)rank;
   work->idempotent = (uint8_t)(idempotent != 0);
+  eel_crash_read (relay, request);
+  if (work->caller_service != NULL)
+    work->fingerprint = eel_crash_fingerprint (request, work->caller_service);
   work->target_us = now_us + target_ms * EEL_US_PER_MS;
   work->deadline_us = now_us + strtoll (remaining, NULL, 10) * EEL_US_PER_MS;
   return work->caller_service != NULL;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -19,6 +19,9 @@
 #define PEER_HEAD_BYTES 4096
 /* Longer than peers keep an unused link. */
 #define PEER_IDLE_US (30 * EEL_US_PER_S)
+/* Long enough for callers to stop sending a request that crashes endpoints,
+   short enough for a mended service. */
+#define QUARANTINE_LIFE_US (60 * EEL_US_PER_S)
 /* Peers on other VMs are given up after this silence. */
 #define PEER_SILENCE_MS 1500
 
@@ -127,6 +130,9 @@
   eel_gate_init (&relay->gate, FIRST_SLOTS);
   eel_entry_gate_init (&relay->entry_gate);
   eel_call_costs_init (&relay->call_costs);
+  eel_crash_watch_init (&relay->crash_watch);
+  eel_quarantine_init (&relay->quarantine, relay->quarantined,
+                       EEL_RELAY_QUARANTINE_MAX, QUARANTINE_LIFE_US);
   init_retries (relay);
   init_counters (&relay->counters, metrics);
   eel_pool_init (&relay->endpoint, base, &config->endpoint);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <stdint.h>
 
+#include "eelgrasslatch/crash_watch.h"
 #include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/gate.h"
@@ -38,6 +39,10 @@
 #define EEL_RELAY_CALL "Eel-Call"
 #define EEL_RELAY_LOAD "Eel-Load"
 #define EEL_RELAY_REFUSED "Eel-Refused"
+/* Fingerprint, state and life in ms of a request that crashes endpoints. */
+#define EEL_RELAY_CRASHED "Eel-Crashed"
+
+#define EEL_RELAY_QUARANTINE_MAX 64
 
 struct eel_relay_config
 {
@@ -90,6 +95,9 @@
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
   struct eel_call_costs call_costs;
+  struct eel_crash_watch crash_watch;
+  struct eel_quarantine quarantine;
+  struct eel_quarantine_entry quarantined[EEL_RELAY_QUARANTINE_MAX];
   struct eel_retry_share retries[EEL_SERVICE_NAMES_MAX];
   struct eel_server callers;
   struct eel_server peers;
--- a/src/retry/quarantine.c
+++ b/src/retry/quarantine.c
@@ -195,6 +195,43 @@
   return 1;
 }
 
+/* A suspect that is known already is no news: its life must not be renewed. */
+int
+eel_quarantine_learn (struct eel_quarantine *quarantine,
+                      const struct eel_quarantine_entry *reported,
+                      int64_t remaining_us,
+                      int64_t now_us)
+{
+  if (reported->state == EEL_QUARANTINE_REFUSED)
+    return eel_quarantine_merge (quarantine, reported->fingerprint,
+                                 remaining_us, now_us);
+  if (reported->state != EEL_QUARANTINE_SUSPECT || remaining_us <= 0
+      || quarantine->capacity == 0
+      || find (quarantine, reported->fingerprint, now_us) != NULL)
+    return 0;
+  if (remaining_us > quarantine->life_us)
+    remaining_us = quarantine->life_us;
+  add (quarantine, reported->fingerprint, now_us + remaining_us, now_us);
+  return 1;
+}
+
+/* Looks for the entry with the most life left. */
+const struct eel_quarantine_entry *
+eel_quarantine_newest (const struct eel_quarantine *quarantine, int64_t now_us)
+{
+  const struct eel_quarantine_entry *newest = NULL;
+
+  for (uint32_t i = 0; i < quarantine->count; i++)
+    {
+      const struct eel_quarantine_entry *entry = &quarantine->entries[i];
+
+      if (now_us < entry->expires_us
+          && (newest == NULL || entry->expires_us > newest->expires_us))
+        newest = entry;
+    }
+  return newest;
+}
+
 /* Copies up to max refused entries that have not expired, newest first. */
 size_t
 eel_quarantine_refused (struct eel_quarantine *quarantine,
--- /dev/null
+++ b/tests/unit/test_crash_watch.cc
@@ -0,0 +1,105 @@
+#include <gtest/gtest.h>
+
+extern "C"
+{
+#include "eelgrasslatch/crash_watch.h"
+#include "eelgrasslatch/types.h"
+}
+
+namespace
+{
+struct watched_node
+{
+  struct eel_crash_watch watch;
+  struct eel_quarantine_entry entries[8];
+  struct eel_quarantine quarantine;
+
+  watched_node ()
+  {
+    eel_crash_watch_init (&watch);
+    eel_quarantine_init (&quarantine, entries, 8, 60 * EEL_US_PER_S);
+  }
+
+  enum eel_quarantine_state
+  state (uint64_t fingerprint, int64_t now_us)
+  {
+    return eel_quarantine_check (&quarantine, fingerprint, now_us);
+  }
+};
+}
+
+// One request crashes the endpoints of two nodes, each beside others that run
+// at that moment.  Guards against a third crash, and against the others being
+// refused.
+TEST (CrashWatch, OnlyTheRequestOfBothCrashesIsRefused)
+{
+  watched_node a;
+  watched_node b;
+  const struct eel_quarantine_entry *told;
+
+  for (uint64_t other : { 7, 10, 11 })
+    eel_crash_watch_broke (&a.watch, other, 1000);
+  EXPECT_EQ (eel_crash_watch_endpoint_down (&a.watch, &a.quarantine, 2000), 3u);
+  EXPECT_EQ (a.state (7, 3000), EEL_QUARANTINE_SUSPECT);
+  told = eel_quarantine_newest (&a.quarantine, 3000);
+  ASSERT_NE (told, nullptr);
+  for (uint32_t i = 0; i < a.quarantine.count; i++)
+    EXPECT_EQ (eel_quarantine_learn (&b.quarantine, &a.entries[i],
+                                     59 * EEL_US_PER_S, 3000),
+               1);
+  for (uint64_t other : { 7, 20, 21 })
+    eel_crash_watch_broke (&b.watch, other, EEL_US_PER_S);
+  eel_crash_watch_endpoint_down (&b.watch, &b.quarantine, EEL_US_PER_S + 1000);
+  EXPECT_EQ (b.state (7, 2 * EEL_US_PER_S), EEL_QUARANTINE_REFUSED);
+  EXPECT_EQ (b.state (10, 2 * EEL_US_PER_S), EEL_QUARANTINE_SUSPECT);
+  EXPECT_EQ (b.state (20, 2 * EEL_US_PER_S), EEL_QUARANTINE_SUSPECT);
+  EXPECT_EQ (b.state (7, 70 * EEL_US_PER_S), EEL_QUARANTINE_NONE);
+}
+
+// Guards against ordinary requests that are refused because their endpoints
+// crash: they end well elsewhere.
+TEST (CrashWatch, WhatEndsWellIsNoSuspect)
+{
+  watched_node node;
+
+  for (int64_t s = 0; s < 20; s += 5)
+    {
+      eel_crash_watch_ended (&node.watch, 7, s * EEL_US_PER_S);
+      eel_crash_watch_broke (&node.watch, 7, (s + 1) * EEL_US_PER_S);
+      EXPECT_EQ (eel_crash_watch_endpoint_down (&node.watch, &node.quarantine,
+                                                (s + 1) * EEL_US_PER_S + 1000),
+                 0u);
+    }
+  EXPECT_EQ (node.state (7, 20 * EEL_US_PER_S), EEL_QUARANTINE_NONE);
+}
+
+// Guards against broken answers of a running endpoint taken for crashes.
+TEST (CrashWatch, AnEndpointThatStaysIsNotCrashed)
+{
+  watched_node node;
+
+  eel_crash_watch_broke (&node.watch, 7, 0);
+  EXPECT_EQ (eel_crash_watch_endpoint_down (&node.watch, &node.quarantine,
+                                            3 * EEL_US_PER_S),
+             0u);
+  EXPECT_EQ (node.state (7, 3 * EEL_US_PER_S), EEL_QUARANTINE_NONE);
+}
+
+// Guards against two nodes that renew an entry in each other for ever, and
+// against reports that are not of this protocol.
+TEST (CrashWatch, ReportsAreBounded)
+{
+  watched_node node;
+  struct eel_quarantine_entry odd = {};
+
+  odd.fingerprint = 9;
+  odd.state = EEL_QUARANTINE_SUSPECT;
+  EXPECT_EQ (eel_quarantine_learn (&node.quarantine, &odd, INT64_MAX / 2, 0),
+             1);
+  EXPECT_EQ (eel_quarantine_learn (&node.quarantine, &odd, 50 * EEL_US_PER_S,
+                                   30 * EEL_US_PER_S),
+             0);
+  EXPECT_EQ (node.state (9, 61 * EEL_US_PER_S), EEL_QUARANTINE_NONE);
+  odd.state = 77;
+  EXPECT_EQ (eel_quarantine_learn (&node.quarantine, &odd, EEL_US_PER_S, 0), 0);
+}
