Harm paths between nodes and to the store in the soak

Cause: the soak stopped and killed processes, but no path was ever slow, silent, cut one way or reset.

Change: a proxy stands before each VM and before the store; harms last one to three seconds while other faults go on.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,7 +1,9 @@
 #!/bin/sh
 # Runs real processes for SECONDS and injects faults that SEED draws: nodes
 # killed, stopped, paused and restarted, endpoints killed, the store away or
-# without its history, configurations and drains in series.  Then checks from
+# without its history, configurations and drains in series, and paths between
+# nodes or to the store that delay, reset, hold one way or fall silent while
+# other faults go on.  Then checks from
 # what callers and endpoints saw: an order ran at most once; one that was
 # refused never ran; one that was answered 200 ran; each answer is the caller's
 # own; configurations never went back; planned stops ended with exit code 0 and
@@ -99,10 +101,22 @@
 	[ "$cut" -eq 0 ] || { echo "VIOLATION $cut requests cut by a planned stop"; bad=1; }
 }
 
+# Harms a path for one to three seconds; other faults go on meanwhile.
+harm_path()
+{
+	draw 3
+	(
+		fleet_path "$1" "$2"
+		sleep $((drawn + 1))
+		fleet_path "$1" pass
+	) &
+	harms="$harms $!"
+}
+
 fault()
 {
 	draw_vm
-	draw 11
+	draw 17
 	echo "fault $drawn vm $vm"
 	case $drawn in
 	0) fleet_kill node$vm; sleep 0.2; restart_node $vm ;;
@@ -125,11 +139,25 @@
 		;;
 	9) fleet_config $((version - 1)) /safe/ ;;
 	10) drain_endpoint $vm ;;
+	11) harm_path $vm delay ;;
+	12) harm_path $vm silence ;;
+	13) harm_path $vm inbound ;;
+	14) fleet_path $vm reset ;;
+	15) harm_path store silence ;;
+	16) fleet_path store reset ;;
 	8) kill -HUP "$(fleet_pid node$vm)" ;;
 	esac
 }
 
+# Other nodes reach VM N at 127.0.1.N, the store at 127.0.1.1: both are proxies.
+FLEET_NET=127.0.1
+FLEET_STORE=127.0.1.1
 fleet_store 2
+fleet_proxy store 127.0.1.1 127.0.0.1 "$STORE"
+for vm in $VMS; do
+	fleet_proxy $vm 127.0.1.$vm 127.0.0.$vm $((FLEET_PORT + 3)) $((FLEET_PORT + 5))
+done
+harms=""
 epoch=0
 version=1
 bad=0
@@ -158,6 +186,9 @@
 	draw 5
 	sleep 0.$((drawn + 1))
 done
+for pid in $harms; do
+	wait "$pid" || true
+done
 touch "$FLEET_DIR/end"
 for pid in $callers; do
 	wait "$pid" || true
--- a/tools/platform_fleet.sh
+++ b/tools/platform_fleet.sh
@@ -5,6 +5,8 @@
 FLEET_PIDS=""
 # All nodes use the same ports, as on the platform.
 FLEET_PORT=$("$BUILD/standin_endpoint")
+# Where others reach VM N: itself, or a proxy that stands before it.
+FLEET_NET=127.0.0
 
 fleet_start()
 {
@@ -66,7 +68,22 @@
 # fleet_entry N ID STATE: what the endpoint of VM N says of itself.
 fleet_entry()
 {
-	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"127.0.0.$1:$((FLEET_PORT + 1))\",\"zone\":\"z$1\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
+	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"$FLEET_NET.$1:$((FLEET_PORT + 1))\",\"zone\":\"z$1\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
+}
+
+# fleet_proxy NAME LISTEN_IP TARGET_IP PORT...: a path that can be harmed.
+fleet_proxy()
+{
+	name=proxy$1
+	shift
+	fleet_start "$name" "$BUILD/standin_proxy" "$@"
+	fleet_until test -s "$FLEET_DIR/$name.out"
+}
+
+# fleet_path NAME ORDER: what the proxy does from now on.
+fleet_path()
+{
+	curl -s "http://127.0.0.1:$(cat "$FLEET_DIR/proxy$1.out")/$2" >/dev/null
 }
 
 fleet_endpoint()
@@ -79,12 +96,12 @@
 {
 	ip=127.0.0.$1
 	cat >"$FLEET_DIR/node$1.json" <<END
-{"nodeName":"node$1","role":"node","ip":"$ip","zone":"z$1","service":"shop",
+{"nodeName":"node$1","role":"node","ip":"$FLEET_NET.$1","zone":"z$1","service":"shop",
 "listenAddresses":{"outbound":"$ip:$((FLEET_PORT + 2))","inbound":"$ip:$((FLEET_PORT + 3))",
 "ready":"$ip:$((FLEET_PORT + 4))","control":"$ip:$((FLEET_PORT + 5))"},
-"seedNodes":["127.0.0.3:$((FLEET_PORT + 5))","127.0.0.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
+"seedNodes":["$FLEET_NET.3:$((FLEET_PORT + 5))","$FLEET_NET.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
 "bounds":{"gracePeriodS":6,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":48},
-"platform":{"address":"127.0.0.1:$STORE"}}
+"platform":{"address":"${FLEET_STORE:-127.0.0.1}:$STORE"}}
 END
 }
 
