--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -72,6 +72,13 @@
 	fleet_until sh -c "[ \$(grep -c event=store_back $FLEET_DIR/node2.out) -gt $back ]"
 	sleep 3
 	echo "lost $(($(grep -c event=store_lost "$FLEET_DIR/node2.out") - lost)) times"
+	echo "== a restarted node learns from its peer what the store holds no more"
+	store_put op/config '{"version":15,"rou'
+	fleet_kill node3
+	fleet_node 3
+	fleet_until fleet_is_ready 3
+	fleet_until fleet_gives 200 3 /late/x
+	fleet_ask 3 a12 /late/x
 	echo "== metrics"
 	curl -s "http://127.0.0.3:9464/metrics" | grep -c '^eel_relay_latency_seconds_bucket'
 	echo "== planned stop"
