Let requests follow once a failing endpoint's node has taken one

After two failures only one request at a time may find out whether an endpoint is back, and that one counted until its answer came, though its node had taken it milliseconds later.

Change: only an offer that has not been taken keeps others away.

Result: directory_test.OthersFollowOnceAFailingEndpointsNodeHasTakenOne, which needs the new call.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -42,6 +42,8 @@
 
   /* This sender's view, kept by the place module. */
   uint32_t in_flight;
+  /* Of these, requests that its node has not taken yet. */
+  uint32_t offered;
   /* As its node reported with the last answer, in thousandths of its limit. */
   uint32_t use_milli;
   int64_t use_at_us;
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -88,6 +88,7 @@
       *known = *instance;
       known->added_us = now_us;
       known->in_flight = 0;
+      known->offered = 0;
       return 1;
     }
   known->service = instance->service;
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -23,7 +23,7 @@
     event_free (attempt->accept_timer);
   attempt->accept_timer = NULL;
   if (attempt->running)
-    eel_place_done (attempt->instance);
+    eel_place_done (attempt->instance, attempt->accepted);
   attempt->running = 0;
 }
 
@@ -65,6 +65,7 @@
     return;
   event_del (attempt->accept_timer);
   attempt->accepted_us = eel_clock_us ();
+  eel_place_taken (attempt->instance);
   eel_attempt_send_pending (attempt);
 }
 
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -25,11 +25,14 @@
 /* Failures in a row after which one request at a time tries an endpoint. */
 #define FAILURES_MANY 2
 
-/* True while a request finds out whether a failing endpoint is back. */
+/*
+ * True while a request finds out whether a failing endpoint is back.  Once its
+ * node has taken that one, others may follow: the answer can take long.
+ */
 static int
 is_being_tried (const struct eel_instance *instance)
 {
-  return instance->failures >= FAILURES_MANY && instance->in_flight > 0;
+  return instance->failures >= FAILURES_MANY && instance->offered > 0;
 }
 
 static int
@@ -106,6 +109,15 @@
 eel_place_sent (struct eel_instance *instance)
 {
   instance->in_flight++;
+  instance->offered++;
+}
+
+/* Counts an offer that was taken. */
+void
+eel_place_taken (struct eel_instance *instance)
+{
+  if (instance->offered > 0)
+    instance->offered--;
 }
 
 /* Ends the avoidance of an endpoint that answers. */
@@ -144,8 +156,10 @@
 
 /* Ends a request. */
 void
-eel_place_done (struct eel_instance *instance)
+eel_place_done (struct eel_instance *instance, int taken)
 {
   if (instance->in_flight > 0)
     instance->in_flight--;
+  if (!taken)
+    eel_place_taken (instance);
 }
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -173,6 +173,28 @@
   EXPECT_STREQ (pick (EEL_US_PER_S), "own");
 }
 
+// Guards against requests that find no endpoint while the one that is left
+// runs a long request: its node has shown that it is there.
+TEST_F (directory_test, OthersFollowOnceAFailingEndpointsNodeHasTakenOne)
+{
+  struct eel_instance *own;
+
+  put (entry ("own", 1));
+  own = eel_directory_find (&directory, "own");
+  eel_place_failed (own, 0);
+  eel_place_failed (own, 0);
+  eel_place_sent (own);
+  EXPECT_EQ (pick (EEL_US_PER_S), nullptr);
+  eel_place_taken (own);
+  EXPECT_STREQ (pick (EEL_US_PER_S), "own");
+  eel_place_sent (own);
+  EXPECT_EQ (pick (EEL_US_PER_S), nullptr);
+  eel_place_done (own, 1);
+  EXPECT_EQ (pick (EEL_US_PER_S), nullptr);
+  eel_place_done (own, 0);
+  EXPECT_STREQ (pick (EEL_US_PER_S), "own");
+}
+
 // Guards against preference for an endpoint that sheds and looks idle.
 TEST_F (directory_test, SheddingEndpointLosesItsDomainsPreference)
 {
