Learn how long an endpoint lets connections rest

Change: a reset within 20 ms on a kept connection halves the time that connections of that pool may rest; it doubles again every 5 s.

--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -13,6 +13,8 @@
 /* Answers come from the users' upstreams; their heads are small. */
 #define ANSWER_HEAD_BYTES_MAX 65536
 #define READ_BYTES_MAX 65536
+/* A peer that has forgotten a connection resets it within a round trip. */
+#define FORGOTTEN_US (20 * EEL_US_PER_MS)
 
 /* Adds a link to its pool's active or idle list. */
 void
@@ -95,6 +97,9 @@
   void *owner = link->owner;
   int sent = link->connected;
 
+  if (ops != NULL && link->rested_us > 0 && !link->answering
+      && eel_clock_us () - link->sent_us < FORGOTTEN_US)
+    eel_pool_forgotten (link->pool, link->rested_us);
   link_close (link);
   if (ops != NULL)
     ops->fail (owner, sent, reason);
@@ -125,6 +130,7 @@
   struct eel_link *link = owner;
   int interim = head->status >= 100 && head->status < 200;
 
+  link->answering = 1;
   if (head->status == 100 && link->ops != NULL && link->ops->accepted != NULL)
     link->ops->accepted (link->owner);
   read_idle_limit (link, head);
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -12,6 +12,10 @@
 
 /* Below the 10 s after which peers of this kind close idle connections. */
 #define MAX_IDLE_US (8 * EEL_US_PER_S)
+/* Below the shortest rest after which a connection may be forgotten, and the
+   time after which twice the rest is tried. */
+#define REST_LEAST_US (100 * EEL_US_PER_MS)
+#define REST_LIMIT_LIFE_US (5 * EEL_US_PER_S)
 /* Connecting takes milliseconds; a lost opening packet is sent after 1 s. */
 #define CONNECT_US (400 * EEL_US_PER_MS)
 
@@ -25,6 +29,7 @@
   pool->base = base;
   pool->address = *address;
   pool->max_idle_us = MAX_IDLE_US;
+  pool->rest_limit_us = MAX_IDLE_US;
   pool->connect_us = CONNECT_US;
 }
 
@@ -62,7 +67,7 @@
       struct eel_link *link = pool->idle;
       int64_t idle_us = now_us - link->idle_since_us;
 
-      if (idle_us > fresh_us)
+      if (idle_us > fresh_us || idle_us > pool->rest_limit_us)
         return NULL;
       if (idle_us <= link->idle_limit_us)
         return link;
@@ -82,9 +87,12 @@
 {
   struct eel_link *link = take_idle (pool, fresh_us);
 
+  int64_t now_us = eel_clock_us ();
+
   if (link != NULL)
     {
       eel_link_unlist (link);
+      link->rested_us = now_us - link->idle_since_us;
       pool->reused++;
     }
   else
@@ -94,23 +102,50 @@
         return NULL;
       pool->opened++;
     }
+  link->sent_us = now_us;
   eel_link_list (link, 0);
   link->ops = ops;
   link->owner = owner;
   link->head_request = (uint8_t)head_request;
   link->request_done = 0;
+  link->answering = 0;
   link->had_stray = 0;
   link->stray = 0;
   evbuffer_add_buffer (bufferevent_get_output (link->bev), head);
   return link;
 }
 
+/* Lets connections rest for half of that time from now on. */
+void
+eel_pool_forgotten (struct eel_pool *pool, int64_t rested_us)
+{
+  int64_t limit_us = rested_us / 2;
+
+  pool->rest_limited_us = eel_clock_us ();
+  if (limit_us < REST_LEAST_US)
+    limit_us = REST_LEAST_US;
+  if (limit_us < pool->rest_limit_us)
+    pool->rest_limit_us = limit_us;
+}
+
+/* After a while without forgotten connections they may rest longer again. */
+static void
+relax_rest_limit (struct eel_pool *pool, int64_t now_us)
+{
+  if (pool->rest_limit_us >= pool->max_idle_us
+      || now_us - pool->rest_limited_us < REST_LIMIT_LIFE_US)
+    return;
+  pool->rest_limit_us *= 2;
+  pool->rest_limited_us = now_us;
+}
+
 /* Closes links that were idle for too long. */
 void
 eel_pool_sweep (struct eel_pool *pool, int64_t now_us)
 {
   struct eel_link *link = pool->idle;
 
+  relax_rest_limit (pool, now_us);
   free_closed (pool);
   while (link != NULL)
     {
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -36,6 +36,9 @@
   struct event_base *base;
   struct sockaddr_in address;
   int64_t max_idle_us;
+  /* Peers forgot connections that had rested for about this long. */
+  int64_t rest_limit_us;
+  int64_t rest_limited_us;
   int64_t connect_us;
   /* Silent peers are given up after this; 0 on one machine. */
   uint32_t silence_ms;
@@ -61,6 +64,9 @@
   void *owner;
   int64_t idle_since_us;
   int64_t idle_limit_us;
+  /* Of the present request; a rest of 0: on a new connection. */
+  int64_t sent_us;
+  int64_t rested_us;
   uint8_t is_idle;
   uint8_t connected;
   uint8_t head_request;
@@ -69,6 +75,8 @@
   /* The answer being read belongs to another request. */
   uint8_t stray;
   uint8_t had_stray;
+  /* The head of an answer has come. */
+  uint8_t answering;
   /* A whole answer has been read; its end is not yet reported. */
   uint8_t answered;
   uint8_t closed;
@@ -88,6 +96,8 @@
                                 struct evbuffer *head,
                                 int head_request,
                                 int64_t fresh_us);
+/* The peer has dropped a kept connection instead of reading a request. */
+void eel_pool_forgotten (struct eel_pool *pool, int64_t rested_us);
 /* Closes links that were idle for too long. */
 void eel_pool_sweep (struct eel_pool *pool, int64_t now_us);
 
