--- a/include/eelgrasslatch/published.h
+++ b/include/eelgrasslatch/published.h
@@ -47,6 +47,8 @@
 int eel_published_seen (struct eel_published *published, uint64_t revision);
 struct eel_published_item *
 eel_published_find (const struct eel_published *published, const char *key);
+/* A listing holds the key, but nothing that may take the item's place. */
+void eel_published_keep (struct eel_published *published, const char *key);
 /*
  * A listing of a prefix begins; each put of it marks its item.  What is not
  * marked at its end was removed: next_missing returns one such item a call.
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -119,6 +119,16 @@
       published->items[i].listed = 0;
 }
 
+/* Marks the item as listed. */
+void
+eel_published_keep (struct eel_published *published, const char *key)
+{
+  struct eel_published_item *item = eel_published_find (published, key);
+
+  if (item != NULL)
+    item->listed = 1;
+}
+
 /* Returns an item that the listing lacks, once. */
 struct eel_published_item *
 eel_published_next_missing (struct eel_published *published,
--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -74,6 +74,11 @@
 	echo "lost $(($(grep -c event=store_lost "$FLEET_DIR/node2.out") - lost)) times"
 	echo "== a restarted node learns from its peer what the store holds no more"
 	store_put op/config '{"version":15,"rou'
+	# The peer lists it too.
+	listed=$(grep -c event=store_history_gone "$FLEET_DIR/node2.out" || true)
+	store_order forget
+	fleet_until sh -c "[ \$(grep -c event=store_history_gone $FLEET_DIR/node2.out) -gt $listed ]"
+	sleep 1
 	fleet_kill node3
 	fleet_node 3
 	fleet_until fleet_is_ready 3
