Test the settings that changed: ip is required, the shorter bound counts

Change: its good file has an ip, and ip is one of the fields whose lack is refused, so it checks one field more; a new test reads the bounds.

--- a/tests/unit/test_platform_adapter.cc
+++ b/tests/unit/test_platform_adapter.cc
@@ -182,7 +182,8 @@
 TEST (PlatformSettings, EachFieldIsRequired)
 {
   const std::string good
-      = R"({"nodeName":"n","service":"s","zone":"z","appAddress":"1.2.3.4:5",)"
+      = R"({"nodeName":"n","service":"s","zone":"z","ip":"1.2.3.4",)"
+        R"("appAddress":"1.2.3.4:5",)"
         R"("listenAddresses":{"outbound":"1.2.3.4:6","inbound":"1.2.3.4:7",)"
         R"("ready":"1.2.3.4:8"},"platform":{"address":"1.2.3.4:9"}})";
   char file[] = "/tmp/eel-settings-XXXXXX";
@@ -190,8 +191,9 @@
   int fd = mkstemp (file);
 
   close (fd);
-  for (const char *field : { "", "nodeName", "service", "zone", "appAddress",
-                             "outbound", "inbound", "ready", "platform" })
+  for (const char *field :
+       { "", "nodeName", "service", "zone", "ip", "appAddress", "outbound",
+         "inbound", "ready", "platform" })
     {
       std::string text = good;
 
@@ -208,3 +210,46 @@
     }
   unlink (file);
 }
+
+static std::string
+settings_text (const std::string &ip, const std::string &bounds)
+{
+  return R"({"nodeName":"n","service":"s","zone":"z1",)" + ip
+         + R"("listenAddresses":{"outbound":"127.0.0.1:1","inbound":)"
+           R"("127.0.0.1:2","ready":"127.0.0.1:3"},)"
+           R"("appAddress":"127.0.0.1:4","bounds":)"
+         + bounds + R"(,"platform":{"address":"127.0.0.1:5"}})";
+}
+
+// Guards against changes that are read after the time in which they have to be
+// in force, and against a node that does not know its own address.
+TEST (PlatformSettings, AreReadWithTheShorterBoundOfChanges)
+{
+  const struct
+  {
+    std::string ip;
+    std::string bounds;
+    int valid;
+    int64_t in_force_ms;
+  } cases[] = {
+    { R"("ip":"10.1.0.8",)", R"({"configApplyMs":2500,"drainMs":1500})", 1,
+      1500 },
+    { R"("ip":"10.1.0.8",)", R"({"configApplyMs":900,"drainMs":1500})", 1,
+      900 },
+    { R"("ip":"10.1.0.8",)", "{}", 1, 2000 },
+    { "", "{}", 0, 2000 },
+    { R"("ip":"ten",)", "{}", 0, 2000 },
+  };
+  std::string file = ::testing::TempDir () + "settings.json";
+
+  for (const auto &each : cases)
+    {
+      struct platform_settings settings;
+
+      std::ofstream (file) << settings_text (each.ip, each.bounds);
+      EXPECT_EQ (platform_settings_read (&settings, file.c_str ()), each.valid);
+      EXPECT_EQ (settings.in_force_us, each.in_force_ms * EEL_US_PER_MS);
+      platform_settings_finish (&settings);
+    }
+  remove (file.c_str ());
+}
