Bound the life that a peer reports of a crashing request

Cause: the milliseconds of the field between nodes were multiplied unchecked, so a peer could overflow them. Result: Relay.FieldOfAnotherNodeIsBounded, six forms.

--- a/src/relay/crash.c
+++ b/src/relay/crash.c
@@ -10,6 +10,9 @@
 #include "relay/message.h"
 #include "relay/relay.h"
 
+/* No node keeps an entry for longer; more is not of this protocol. */
+#define LIFE_MOST_MS (24 * 3600 * INT64_C (1000))
+
 /* Hashes what a request that comes again has in common with the first one. */
 uint64_t
 eel_crash_fingerprint (const struct eel_head *request,
@@ -54,7 +57,8 @@
     return;
   if (sscanf (text, "%" SCNx64 " %u %" SCNd64, &entry.fingerprint, &state,
               &left_ms)
-      != 3)
+          != 3
+      || left_ms < 0 || left_ms > LIFE_MOST_MS)
     {
       g_message ("event=crash_field_invalid");
       return;
--- a/tests/unit/test_relay_crash.cc
+++ b/tests/unit/test_relay_crash.cc
@@ -2,6 +2,12 @@
 
 #include <gtest/gtest.h>
 
+extern "C"
+{
+#include "relay/crash.h"
+#include "relay/reader.h"
+}
+
 namespace
 {
 // The endpoint is gone: its connections are reset and new ones refused.
@@ -63,3 +69,39 @@
   EXPECT_NE (field_of (last, "Retry-After"), "");
   EXPECT_EQ (field_of (last, "Eel-Crashed"), "");
 }
+
+// Guards against a field between nodes that is not of this protocol.
+TEST (Relay, FieldOfAnotherNodeIsBounded)
+{
+  relay_world world (1);
+  const struct
+  {
+    const char *text;
+    uint32_t known;
+  } cases[] = {
+    { "7f 1", 0 },      { "7f 1 -5", 0 }, { "7f 1 9223372036854775807", 0 },
+    { "7f 9 1000", 0 }, { "zz", 0 },      { "7f 1 1000", 1 }
+  };
+
+  for (const auto &each : cases)
+    {
+      std::string message = std::string ("HTTP/1.1 200 OK\r\nEel-Crashed: ")
+                            + each.text + "\r\n\r\n";
+
+      struct eel_reader reader;
+      struct eel_reader_ops ops = {};
+
+      ops.head = [] (void *owner, struct eel_head *read) {
+        eel_crash_read (static_cast<struct eel_relay *> (owner), read);
+        return 0;
+      };
+      ops.body = [] (void *, const char *, size_t) {};
+      ops.end = [] (void *) {};
+      eel_reader_init (&reader, HTTP_RESPONSE, &ops, &world.nodes[0]->relay,
+                       4096);
+      eel_reader_feed (&reader, message.data (), message.size ());
+      eel_reader_finish (&reader);
+      EXPECT_EQ (world.nodes[0]->relay.quarantine.count, each.known)
+          << each.text;
+    }
+}
