Check the chunks of a body before evhtp parses them

Change: http_parser, which the relay uses already, checks the chunks before evhtp gets them (front_chunks.c).

--- a/src/http/front.h
+++ b/src/http/front.h
@@ -2,6 +2,7 @@
 #define EEL_HTTP_FRONT_H
 
 #include <evhtp/evhtp.h>
+#include <http_parser.h>
 #include <stdint.h>
 
 #include "http/front_parse.h"
@@ -40,6 +41,8 @@
  */
 #define FRONT_ANSWER_GRACE_US (5 * EEL_US_PER_S)
 
+#define FRONT_CHUNK_MALFORMED "a chunk of the body is malformed"
+
 enum front_conn_state
 {
   FRONT_IDLE,
@@ -63,6 +66,10 @@
   bufferevent_data_cb evhtp_write;
   /* Bytes of an incomplete head that were already searched for its end. */
   size_t scanned_bytes;
+  /* Checks the chunks of the body, up to this offset in the input. */
+  struct http_parser chunks;
+  size_t checked_bytes;
+  uint8_t checks_chunks;
   /* The request that is being read or is open. */
   struct eel_headers raw_headers;
   struct eel_call *call;
@@ -143,6 +150,10 @@
 void front_conn_refuse (struct front_conn *conn);
 void front_conn_sweep (struct eel_front *front, int64_t now_us);
 void front_conn_close_all (struct eel_front *front);
+/* front_chunks.c */
+void front_chunks_begin (struct front_conn *conn, size_t head_bytes);
+int front_chunks_check (struct front_conn *conn, struct evbuffer *input);
+void front_chunks_consumed (struct front_conn *conn, struct evbuffer *input);
 /* front_head.c */
 int front_head_parse (struct front_conn *conn, const char *data, size_t bytes);
 /* front_read.c */
--- a/src/http/front_conn.c
+++ b/src/http/front_conn.c
@@ -113,7 +113,7 @@
   if (conn->state == FRONT_READING && conn->refusal.error == EEL_OK
       && htparser_get_error (evhtp->parser) != htparse_error_none)
     front_refusal_set (&conn->refusal, EEL_ERROR_BAD_REQUEST, 1,
-                       "a chunk of the body is malformed");
+                       FRONT_CHUNK_MALFORMED);
   if (conn->state == FRONT_READING && conn->refusal.close)
     refuse_and_linger (conn->front, evhtp, &conn->refusal);
   clear_request (conn);
--- a/src/http/front_head.c
+++ b/src/http/front_head.c
@@ -187,6 +187,9 @@
   conn->keep_alive = (uint8_t)wants_keep_alive (conn);
   if (!front_check_framing (&conn->raw_headers, &conn->refusal))
     return 0;
+  conn->checks_chunks = 0;
+  if (eel_headers_get (&conn->raw_headers, "Transfer-Encoding") != NULL)
+    front_chunks_begin (conn, bytes);
   /* A request for keys has no service. */
   if (!eel_http_has_prefix (conn->call->target, "/eel/"))
     front_parse_headers (conn->call, &conn->raw_headers, eel_clock_us (),
--- a/src/http/front_read.c
+++ b/src/http/front_read.c
@@ -90,8 +90,18 @@
     return;
   if (conn->call == NULL && !read_head (conn, input))
     return;
+  if (!front_chunks_check (conn, input))
+    {
+      front_refusal_set (&conn->refusal, EEL_ERROR_BAD_REQUEST, 1,
+                         FRONT_CHUNK_MALFORMED);
+      front_conn_refuse (conn);
+      return;
+    }
   conn->evhtp_read (bev, conn->evhtp);
-  if (front->freed_count == freed_count && conn->state == FRONT_AWAITING_ANSWER)
+  if (front->freed_count != freed_count)
+    return;
+  front_chunks_consumed (conn, input);
+  if (conn->state == FRONT_AWAITING_ANSWER)
     bufferevent_enable (bev, EV_READ);
 }
 
