Direct a request for an earlier endpoint to its successor

Change: the node beside the endpoint directs a request that names an earlier endpoint to the one that is listed at its address now, or has named itself there. One that says that it is another is believed. Result: Relay.RequestForAnEarlierEndpointGoesToItsSuccessor failed before and passes; Relay.AddressOfAnotherEndpointIsNotTriedAgain as before.

--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -191,22 +191,54 @@
   attempt->ops->fail (attempt->owner, EEL_FAILURE_REFUSED, "no slot in time");
 }
 
-/* Returns why this node's endpoint must not get the request, or NULL. */
+/*
+ * Returns the endpoint that has taken the place of the expected one at this
+ * node's address, or NULL.  An endpoint that has named itself at the address
+ * counts more than the newest entry of the directory.  Either must be listed as
+ * one of the service.
+ */
+static const struct eel_instance *
+find_successor (struct eel_relay *relay, const char *expected, int named)
+{
+  const struct eel_instance *successor
+      = named ? eel_directory_find (&relay->directory, relay->actual_instance)
+              : eel_relay_own_instance (relay);
+
+  return successor != NULL && successor->service == relay->service
+                 && successor->ip == relay->config.ip.s_addr
+                 && eel_instance_usable (successor)
+                 && strcmp (successor->id, expected) != 0
+             ? successor
+             : NULL;
+}
+
+/*
+ * Directs the request to the endpoint that is at this node's address now, which
+ * after a restart has another id than the one that the sender knows.  Returns
+ * why the endpoint must not get the request, or NULL.
+ */
 static const char *
-endpoint_refusal (const struct eel_attempt *attempt)
+direct_to_endpoint (struct eel_attempt *attempt)
 {
   struct eel_relay *relay = attempt->relay;
+  const char *expected = attempt->call.instance_id;
+  int named = eel_clock_us () < relay->actual_until_us;
+  const struct eel_instance *successor;
   struct eel_instance *own;
 
   if (attempt->call.service != relay->service)
     return "endpoint is of another service";
-  if (attempt->call.instance_id == NULL)
+  if (expected == NULL)
     return NULL;
-  own = eel_directory_find (&relay->directory, attempt->call.instance_id);
+  own = eel_directory_find (&relay->directory, expected);
   if (own != NULL && !eel_instance_usable (own))
     return "endpoint is leaving";
-  if (eel_clock_us () < relay->actual_until_us
-      && strcmp (relay->actual_instance, attempt->call.instance_id) != 0)
+  if (named && strcmp (relay->actual_instance, expected) == 0)
+    return NULL;
+  successor = find_successor (relay, expected, named);
+  if (successor != NULL)
+    attempt->call.instance_id = successor->id;
+  else if (named)
     return "another endpoint has the address";
   return NULL;
 }
@@ -220,7 +252,7 @@
                                       .target_us = call->target_us,
                                       .deadline_us = call->deadline_us,
                                       .owner = attempt };
-  const char *refusal = endpoint_refusal (attempt);
+  const char *refusal = direct_to_endpoint (attempt);
 
   if (refusal != NULL)
     {
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -248,21 +248,28 @@
 
 void
 relay_cluster::list_upstream (size_t node, uint32_t slots, bool ready)
+{
+  ++revision;
+  for (size_t at = 0; at < nodes.size (); at++)
+    list_upstream_at (at, node, nodes[node]->id, slots, ready);
+}
+
+void
+relay_cluster::list_upstream_at (
+    size_t at, size_t node, const std::string &id, uint32_t slots, bool ready)
 {
   struct eel_instance instance = {};
+  struct eel_relay *relay = &nodes[at]->relay;
 
-  snprintf (instance.id, sizeof instance.id, "%s", nodes[node]->id.c_str ());
+  snprintf (instance.id, sizeof instance.id, "%s", id.c_str ());
   instance.state = ready ? EEL_INSTANCE_READY : EEL_INSTANCE_DRAINING;
-  instance.revision = ++revision;
+  instance.revision = revision;
   instance.ip = nodes[node]->upstream.address.sin_addr.s_addr;
   instance.port = ntohs (nodes[node]->upstream.address.sin_port);
   instance.slots = slots;
-  for (auto &each : nodes)
-    {
-      instance.service = each->relay.service;
-      eel_directory_put (&each->relay.directory, &instance, eel_clock_us ());
-      eel_relay_endpoints_changed (&each->relay);
-    }
+  instance.service = relay->service;
+  eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+  eel_relay_endpoints_changed (relay);
 }
 
 void
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -65,6 +65,12 @@
   ~relay_cluster ();
   // Puts the upstream of a node into every directory, as "up-N".
   void list_upstream (size_t node, uint32_t slots = 10, bool ready = true);
+  // Puts an endpoint at a node's upstream into the directory of one node only.
+  void list_upstream_at (size_t at,
+                         size_t node,
+                         const std::string &id,
+                         uint32_t slots = 10,
+                         bool ready = true);
   // Sets the routes /safe/ (idempotent) and /once/ (not idempotent).
   void set_routes (uint32_t timeout_ms = 2000);
   bool run_until (const std::function<bool ()> &done, int64_t limit_ms = 8000);
