--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -81,6 +81,9 @@
 void eel_directory_set_stable (struct eel_directory *directory,
                                int stable,
                                int64_t now_us);
+/* Records that the registry answers, and since when at the earliest. */
+void eel_directory_set_stable_since (struct eel_directory *directory,
+                                     int64_t since_us);
 /* Removes lapsed entries after their grace period. */
 void eel_directory_tick (struct eel_directory *directory, int64_t now_us);
 struct eel_instance *eel_directory_find (struct eel_directory *directory,
--- a/include/eelgrasslatch/published.h
+++ b/include/eelgrasslatch/published.h
@@ -30,6 +30,8 @@
   uint32_t count;
   /* The greatest revision that was recorded. */
   uint64_t newest;
+  /* Removals up to this revision may be unknown here. */
+  uint64_t removals_since;
   uint64_t dropped_full;
 };
 
@@ -51,6 +53,13 @@
 /* Marks a key of a listing whose value does not replace the item. */
 void eel_published_mark_listed (struct eel_published *published,
                                 const char *key);
+/* Records a complete listing at a revision, which does not tell what was
+   removed before it. */
+void eel_published_record_listing (struct eel_published *published,
+                                   uint64_t revision);
+/* True when all changes after a revision are held, also removals. */
+int eel_published_has_changes_since (const struct eel_published *published,
+                                     uint64_t revision);
 /*
  * Starts a listing of a prefix, in which each put marks its item.  Items that
  * are unmarked at its end were removed; eel_published_next_missing returns one
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -144,6 +144,17 @@
   directory->stable = (uint8_t)(stable != 0);
 }
 
+/* For what a peer has learned from the registry: an outage that this node has
+   not noticed counts too. */
+void
+eel_directory_set_stable_since (struct eel_directory *directory,
+                                int64_t since_us)
+{
+  if (since_us > directory->stable_since_us)
+    directory->stable_since_us = since_us;
+  directory->stable = 1;
+}
+
 /* The grace period starts with the lapse, or with the registry's recovery. */
 void
 eel_directory_tick (struct eel_directory *directory, int64_t now_us)
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -42,6 +42,24 @@
   return 1;
 }
 
+/* Records a complete listing: an item that it lacks leaves no trace here. */
+void
+eel_published_record_listing (struct eel_published *published,
+                              uint64_t revision)
+{
+  if (revision > published->removals_since)
+    published->removals_since = revision;
+}
+
+/* Returns 0 when a peer that knows the items of that revision has to list all
+   of them to learn what was removed. */
+int
+eel_published_has_changes_since (const struct eel_published *published,
+                                 uint64_t revision)
+{
+  return revision > 0 && revision >= published->removals_since;
+}
+
 /* Returns a free slot, or that of the removed item with the least revision. */
 static struct eel_published_item *
 acquire_slot (struct eel_published *published)
@@ -60,6 +78,8 @@
       oldest = &published->items[i];
   if (oldest == NULL)
     published->dropped_full++;
+  else
+    eel_published_record_listing (published, oldest->revision);
   return oldest;
 }
 
--- a/tools/platform_fleet.sh
+++ b/tools/platform_fleet.sh
@@ -5,6 +5,8 @@
 FLEET_PIDS=""
 # All nodes use the same ports, as on the platform.
 FLEET_PORT=$("$BUILD/standin_endpoint")
+# Failure domain of all VMs; empty: each VM has its own.
+FLEET_ZONE=""
 # Network prefix at which other nodes reach a VM: its own or that of proxies.
 FLEET_NET=127.0.0
 
@@ -68,7 +70,7 @@
 # fleet_entry N ID STATE: publishes the store entry of the endpoint of VM N.
 fleet_entry()
 {
-	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"$FLEET_NET.$1:$((FLEET_PORT + 1))\",\"zone\":\"z$1\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
+	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"$FLEET_NET.$1:$((FLEET_PORT + 1))\",\"zone\":\"${FLEET_ZONE:-z$1}\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
 }
 
 # fleet_proxy NAME LISTEN_IP TARGET_IP PORT...: starts a fault-injecting proxy.
@@ -96,7 +98,7 @@
 {
 	ip=127.0.0.$1
 	cat >"$FLEET_DIR/node$1.json" <<END
-{"nodeName":"node$1","role":"node","ip":"$FLEET_NET.$1","zone":"z$1","service":"shop",
+{"nodeName":"node$1","role":"node","ip":"$FLEET_NET.$1","zone":"${FLEET_ZONE:-z$1}","service":"shop",
 "listenAddresses":{"outbound":"$ip:$((FLEET_PORT + 2))","inbound":"$ip:$((FLEET_PORT + 3))",
 "ready":"$ip:$((FLEET_PORT + 4))","control":"$ip:$((FLEET_PORT + 5))"},
 "seedNodes":["$FLEET_NET.3:$((FLEET_PORT + 5))","$FLEET_NET.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
