Answer callers that connect just before a stopping node closes idle connections

Change: a connection counts as busy for 200 ms after it was accepted or last answered, and for 1 s while a head is being read. Result: two of the four tests RelayStop.* failed before and pass (just connected, head begun); pipelined requests and idle connections passed before as well.

--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "eelgrasslatch/types.h"
+#include "internal/task.h"
 #include "relay/conn.h"
 
 /* In force until the first configuration arrives. */
@@ -18,6 +19,10 @@
 #define LISTEN_BACKLOG 1024
 /* A peer that has received its last answer closes within a round trip. */
 #define LINGER_TIMEOUT_US (1 * EEL_US_PER_S)
+/* A caller sends its request within a round trip after it has connected, and
+   the rest of a head that it has begun soon after. */
+#define REQUEST_EXPECTED_US (200 * EEL_US_PER_MS)
+#define HEAD_EXPECTED_US (1 * EEL_US_PER_S)
 
 static void
 on_accept (struct evconnlistener *listener,
@@ -139,31 +144,48 @@
     end (exchange);
 }
 
-/* True when no request is open and all output is written to the sockets. */
+/* True when a request is open or expected, or an answer is being sent. */
+static int
+is_busy (const struct eel_conn *conn, int64_t now_us)
+{
+  int64_t age_us = now_us - conn->phase_start_us;
+
+  if (conn->count > 0
+      || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    return 1;
+  if (conn->lingering || conn->closing)
+    return 0;
+  return age_us
+         < (conn->reader.started ? HEAD_EXPECTED_US : REQUEST_EXPECTED_US);
+}
+
+/* True when no request is open or expected and all output is written to the
+   sockets. */
 int
 eel_server_is_idle (const struct eel_server *server)
 {
+  int64_t now_us = eel_clock_us ();
   const struct eel_conn *conn;
 
   for (conn = server->conns; conn != NULL; conn = conn->next)
-    if (conn->count > 0
-        || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+    if (is_busy (conn, now_us))
       return 0;
   return 1;
 }
 
-/* Keeps connections with a request, unwritten output or a pending linger. */
+/* Keeps connections on which a request is open or expected, or an answer is
+   being sent, and those that linger. */
 void
 eel_server_close_idle (struct eel_server *server)
 {
   struct eel_conn *conn = server->conns;
+  int64_t now_us = eel_clock_us ();
 
   while (conn != NULL)
     {
       struct eel_conn *next = conn->next;
 
-      if (conn->count == 0 && !conn->reader.started && !conn->lingering
-          && evbuffer_get_length (bufferevent_get_output (conn->bev)) == 0)
+      if (!is_busy (conn, now_us) && !conn->lingering)
         eel_conn_close (conn);
       conn = next;
     }
