Keep using endpoints that were dropped where the store can't be reached

Result: directory_test and Published tests for it pass, tests/run/ test_read_source.sh cuts one node off.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -84,6 +84,9 @@
 /* Records that the registry answers, and since when at the earliest. */
 void eel_directory_set_stable_since (struct eel_directory *directory,
                                      int64_t since_us);
+/* Removes entries that lapsed while it was unknown whether the registry is
+   stable, if it has been so for the grace period.  Returns their number. */
+uint32_t eel_directory_settle (struct eel_directory *directory, int64_t now_us);
 /* Removes lapsed entries after their grace period. */
 void eel_directory_tick (struct eel_directory *directory, int64_t now_us);
 struct eel_instance *eel_directory_find (struct eel_directory *directory,
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -155,6 +155,24 @@
   directory->stable = 1;
 }
 
+/* Does nothing within the grace period: then entries may be missing although
+   their endpoints are alive. */
+uint32_t
+eel_directory_settle (struct eel_directory *directory, int64_t now_us)
+{
+  uint32_t removed = 0;
+
+  if (may_lapse (directory, now_us))
+    return 0;
+  for (uint32_t i = 0; i < directory->count; i++)
+    if (directory->instances[i].state == EEL_INSTANCE_LAPSED)
+      {
+        directory->instances[i].state = EEL_INSTANCE_REMOVED;
+        removed++;
+      }
+  return removed;
+}
+
 /* The grace period starts with the lapse, or with the registry's recovery. */
 void
 eel_directory_tick (struct eel_directory *directory, int64_t now_us)
--- a/tests/run/test_read_source.sh
+++ b/tests/run/test_read_source.sh
@@ -52,14 +52,19 @@
 }
 
 fleet_store
+# VM 5 reaches the store through a proxy.
+fleet_proxy store 127.0.1.5 127.0.0.1 "$STORE"
 for vm in $VMS; do
 	fleet_endpoint "$vm" "up-$vm"
 	fleet_entry "$vm" "up-$vm" ready
 done
 fleet_config 1 /one/
 for vm in $VMS; do
+	FLEET_STORE=127.0.0.1
+	[ "$vm" = 5 ] && FLEET_STORE=127.0.1.5
 	fleet_node "$vm"
 done
+FLEET_STORE=127.0.0.1
 {
 	fleet_until all_serve /one/x $VMS
 	fleet_until one_reader
@@ -68,6 +73,17 @@
 	fleet_until all_serve /two/x $VMS
 	fleet_until all_refuse /one/x $VMS
 	echo "a change reaches all"
+	sleep 6
+	fleet_path store stall
+	curl -s -X POST "http://127.0.0.1:$STORE/remove?key=servers/up-3" >/dev/null
+	fleet_until grep -q event=store_path_lost "$FLEET_DIR/node5.out"
+	echo "a node that is cut off from the store notices: $(grep -l event=store_path_lost "$FLEET_DIR"/node?.out | wc -l) of four"
+	fleet_until grep -q "event=store_path_confirmed endpoints_removed=1" "$FLEET_DIR/node2.out"
+	fleet_path store pass
+	fleet_until grep -q event=store_path_back "$FLEET_DIR/node5.out"
+	fleet_entry 3 up-3 ready
+	fleet_until grep -q "id=up-3 .*state=ready was=removed revision=[1-9][0-9]*" "$FLEET_DIR/node2.out"
+	echo "and when it reaches it again"
 	killed=$(reader)
 	fleet_kill "node$killed"
 	fleet_config 3 /three/
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -85,6 +85,37 @@
   EXPECT_EQ (eel_directory_find (&directory, "b")->state, EEL_INSTANCE_READY);
 }
 
+// Guards against an endpoint that is used for seconds after its removal, on a
+// node that first had to find out whether it reaches the registry itself.
+TEST_F (directory_test, RemovalBecomesFinalOnceTheRegistryIsReached)
+{
+  const int64_t now_us = 5 * EEL_US_PER_S;
+
+  put (entry ("a", 1));
+  eel_directory_set_stable (&directory, 0, now_us);
+  eel_directory_remove (&directory, "a", 2, now_us);
+  EXPECT_STREQ (pick (now_us), "a");
+  eel_directory_set_stable_since (&directory, -10 * EEL_US_PER_S);
+  EXPECT_EQ (eel_directory_settle (&directory, now_us), 1u);
+  EXPECT_EQ (pick (now_us), nullptr);
+}
+
+// Guards against removals that are taken for final by a node that has not
+// noticed an outage, though its source tells of one.
+TEST_F (directory_test, OutageThatAPeerHasNoticedCounts)
+{
+  const int64_t now_us = 5 * EEL_US_PER_S;
+
+  put (entry ("a", 1));
+  eel_directory_set_stable_since (&directory, now_us - EEL_US_PER_S);
+  eel_directory_remove (&directory, "a", 2, now_us);
+  EXPECT_EQ (eel_directory_settle (&directory, now_us), 0u);
+  EXPECT_STREQ (pick (now_us), "a");
+  // An older time does not end the grace period.
+  eel_directory_set_stable_since (&directory, -10 * EEL_US_PER_S);
+  EXPECT_EQ (eel_directory_settle (&directory, now_us), 0u);
+}
+
 // Guards against an endpoint that drains and is used again when its entry
 // lapses.
 TEST_F (directory_test, DrainingEntriesDoNotLapse)
@@ -234,3 +265,25 @@
   EXPECT_EQ (published.newest, 3u);
   eel_published_finish (&published);
 }
+
+// Guards against removals that a node can't tell to others because they came
+// before it listed the registry, or because their records were dropped.
+TEST (Published, KnowsSinceWhenItHoldsAllChanges)
+{
+  struct eel_published_item storage[2];
+  struct eel_published published;
+
+  eel_published_init (&published, storage, 2);
+  EXPECT_FALSE (eel_published_has_changes_since (&published, 0));
+  EXPECT_NE (eel_published_put (&published, "a", 3, "x", 1), nullptr);
+  eel_published_record_listing (&published, 7);
+  EXPECT_FALSE (eel_published_has_changes_since (&published, 6));
+  EXPECT_TRUE (eel_published_has_changes_since (&published, 7));
+  EXPECT_NE (eel_published_put (&published, "a", 9, nullptr, 0), nullptr);
+  EXPECT_NE (eel_published_put (&published, "b", 10, "y", 1), nullptr);
+  EXPECT_TRUE (eel_published_has_changes_since (&published, 7));
+  EXPECT_NE (eel_published_put (&published, "c", 11, "z", 1), nullptr);
+  EXPECT_FALSE (eel_published_has_changes_since (&published, 8));
+  EXPECT_TRUE (eel_published_has_changes_since (&published, 9));
+  eel_published_finish (&published);
+}
