Build in parallel by default

Cause: make check from nothing took 5 min 58 s on 6 cores, one file at a time. Change: a job for each processor, bounded by half a gigabyte each in under half of the memory, unless -j is given.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,14 @@
 	$(PKG_CFLAGS)
 LDFLAGS += $(OPT) $(LDHARDEN)
 
+# Builds in parallel unless -j is given: a job for each processor, of which each
+# may take half a gigabyte, in under half of the memory.
+ifeq ($(filter -j%,$(MAKEFLAGS)),)
+JOBS := $(shell awk -v n="$$(nproc)" '/^MemTotal/ { m = int($$2 / 2^20); \
+	print (n < m ? n : (m > 0 ? m : 1)) }' /proc/meminfo)
+MAKEFLAGS += -j$(JOBS)
+endif
+
 # The library holds the decision logic and codecs and does no I/O.
 LIB_DIRS := base error toml execution retry admission routing membership preset \
 	caller wire metrics audit
