--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -12,7 +12,8 @@
  */
 
 #define EEL_INSTANCE_ID_MAX 80
-/* After an outage of the registry a live endpoint is back within 2 s. */
+/* After an outage of the registry a live endpoint is back within 2 s of its
+   end, which is noticed a little later. */
 #define EEL_LAPSED_GRACE_US (1800 * EEL_US_PER_MS)
 
 enum eel_instance_state
--- a/src/membership/probe.c
+++ b/src/membership/probe.c
@@ -134,7 +134,8 @@
 probe_timeout (const struct eel_membership *membership,
                const struct eel_probe *probe)
 {
-  /* An indirect probe takes twice as many network hops. */
+  /* An indirect probe takes twice as many network hops, and one more node
+     handles it. */
   int64_t timeout = membership->config.probe_timeout_us
                     << membership->local_health;
 
--- a/src/platform/call.c
+++ b/src/platform/call.c
@@ -8,7 +8,6 @@
 #include "platform/platform.h"
 
 #define READ_TIMEOUT_MS 2000
-#define CONNECT_TIMEOUT_S 2
 
 /* Frees the connection, after which the request's callback does not run. */
 void
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -23,7 +23,6 @@
   /* eel_conn_feed runs; guards against recursion. */
   uint8_t feeding;
   uint8_t is_closed;
-  uint8_t eof;
   /* No further request is parsed; input is discarded. */
   uint8_t discard_input;
   /* Lingers once the output is written. */
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -210,6 +210,19 @@
     }
 }
 
+/* An endpoint's own failure reaches the caller unchanged. */
+static void
+log_upstream_error (const struct eel_entry *entry, int64_t latency_us)
+{
+  if (entry->status >= 500)
+    g_message ("event=upstream_error request=%s status=%u service=%s "
+               "instance=%s attempt=%u after_ms=%" PRId64,
+               entry->call.request_id != NULL ? entry->call.request_id : "-",
+               entry->status, entry->relay->names.names[entry->call.service],
+               entry->call.instance_id, entry->tried_count,
+               latency_us / EEL_US_PER_MS);
+}
+
 static void
 on_end (void *owner)
 {
@@ -240,6 +253,7 @@
       set_held_length (entry);
       commit (entry);
     }
+  log_upstream_error (entry, latency_us);
   report_outcome (entry, entry->status >= 500);
   eel_crash_clear_suspect (entry->relay, entry->call.fingerprint);
   eel_metric_add (entry->relay->counters.served, 1);
--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -27,6 +27,9 @@
 	fleet_ask 2 a2 /safe/x
 	fleet_ask 2 a3 /once/y -X POST -d order
 	fleet_ask 2 a4 /none/
+	echo "== the endpoint's own failure reaches the caller and the log"
+	fleet_ask 2 a13 "/safe/x?status=500"
+	fleet_until grep -q "event=upstream_error request=a13 status=500 service=shop instance=up-[23] attempt=1 after_ms=[0-9]" "$FLEET_DIR/node2.out"
 	echo "== a newer version takes effect, an older and a truncated one do not"
 	fleet_config 5 /safe/ /new/
 	fleet_until fleet_returns 200 2 /new/x
--- a/tests/standin/endpoint.c
+++ b/tests/standin/endpoint.c
@@ -13,7 +13,8 @@
  * Stand-in for an endpoint of the platform: endpoint IP PORT ID WORK_MS.  It
  * executes requests whose X-Expected-Instance is its id, refuses others with
  * 421, and prints one line per execution: request id, method, target, caller
- * service.  Without arguments it prints the first port of a free range.
+ * service.  A target with "status=500" fails.  Without arguments it prints the
+ * first port of a free range.
  */
 
 /* Size of the free range: ports on each of the addresses from 127.0.0.1. */
@@ -56,7 +57,10 @@
   add_reply_header (request, "X-Attempt-Id",
                     request_header (request, "X-Attempt-Id"));
   add_reply_header (request, "X-Response-Signature", "signed");
-  evhttp_send_reply (request, 200, "OK", body);
+  if (strstr (evhttp_request_get_uri (request), "status=500") != NULL)
+    evhttp_send_reply (request, 500, "Failed", body);
+  else
+    evhttp_send_reply (request, 200, "OK", body);
   evbuffer_free (body);
 }
 
