--- a/tests/unit/test_relay_answers.cc
+++ b/tests/unit/test_relay_answers.cc
@@ -3,6 +3,20 @@
 #include <cstring>
 #include <gtest/gtest.h>
 
+// An endpoint at 127.0.0.2, whose node is played by the test.
+static struct eel_instance
+entry_of_peer (struct eel_relay *relay)
+{
+  struct eel_instance instance = {};
+
+  strcpy (instance.id, "up-2");
+  instance.service = relay->service;
+  instance.revision = 1;
+  instance.slots = 10;
+  inet_pton (AF_INET, "127.0.0.2", &instance.ip);
+  return instance;
+}
+
 // Guards against a second copy of an answer, sent late on a connection that is
 // in use again, for a request that has no id of its own to tell it by.
 TEST (RelayAnswers, LateCopyOfAnAnswerReachesNoOtherCaller)
@@ -36,3 +50,31 @@
       EXPECT_EQ (answer.substr (9, 3), id[0] == 0 ? "503" : "200");
     }
 }
+
+// The same between nodes: a peer sends an answer of another request before the
+// one that is waited for.
+TEST (RelayAnswers, AnswerOfAnotherRequestFromAPeerIsDiscarded)
+{
+  relay_cluster cluster (1);
+  raw_upstream peer;
+  struct eel_relay *relay = &cluster.nodes[0]->relay;
+  struct eel_instance instance = entry_of_peer (relay);
+  auto caller = cluster.connect ();
+
+  peer.open (cluster.base, "127.0.0.2", ntohs (relay->config.peers.sin_port));
+  peer.answer = [] (raw_upstream &, raw_conn &conn,
+                    const std::string &request) {
+    raw_upstream::write (conn, answer_text ("\r\nReq-Id: other\r\n", "wrong")
+                                   + answer_text (request, "right"));
+  };
+  cluster.set_routes ();
+  eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+  raw_upstream::write (*caller, request_text ("GET", "/safe/a", "r1"));
+  ASSERT_TRUE (cluster.run_until ([&] { return !peer.conns.empty (); }));
+  raw_upstream::write (*peer.conns[0], "HTTP/1.1 100 Continue\r\n\r\n");
+  EXPECT_TRUE (cluster.run_until (
+      [&] { return caller->in.find ("right") != std::string::npos; }, 3000))
+      << caller->in;
+  EXPECT_EQ (caller->in.find ("wrong"), std::string::npos);
+  bufferevent_free (caller->bev);
+}
