Hold back crashing requests with a body on the platform's path

Change: the body is hashed as it passes, at the entry and beside the endpoint. While a node knows a suspect, it places a request once its body is whole, up to the 64 KB that it buffers anyway; a longer one is placed as it arrives.

--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -86,8 +86,9 @@
 }
 
 void
-eel_attempt_body_end (struct eel_attempt *attempt)
+eel_attempt_body_end (struct eel_attempt *attempt, uint64_t fingerprint)
 {
+  attempt->call.fingerprint = fingerprint;
   if (attempt->body_done || attempt->answer_done)
     return;
   attempt->body_done = 1;
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -57,7 +57,7 @@
   const char *request_id;
   const char *caller_service;
   const char *instance_id;
-  /* From eel_crash_fingerprint; 0 for a request with a body. */
+  /* From eel_crash_content_fingerprint; 0 until the body is complete. */
   uint64_t fingerprint;
   uint64_t route;
   /* Target time of the route; 0 for a request from a peer, which doesn't send
@@ -119,7 +119,8 @@
 void eel_attempt_start (struct eel_attempt *attempt);
 void
 eel_attempt_body (struct eel_attempt *attempt, const void *data, size_t bytes);
-void eel_attempt_body_end (struct eel_attempt *attempt);
+/* The fingerprint is that of the whole request. */
+void eel_attempt_body_end (struct eel_attempt *attempt, uint64_t fingerprint);
 /* Bytes of the request's body that are not yet written to the socket. */
 size_t eel_attempt_pending_bytes (const struct eel_attempt *attempt);
 /* Checks the id in an answer, which may be NULL. */
--- a/src/relay/crash.c
+++ b/src/relay/crash.c
@@ -5,7 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "internal/hash.h"
 #include "internal/task.h"
 #include "relay/message.h"
 #include "relay/relay.h"
@@ -13,20 +12,38 @@
 /* No node keeps an entry for longer; a larger value is invalid. */
 #define LIFE_MAX_MS (24 * 3600 * INT64_C (1000))
 
-/* Covers what a request that is sent again has in common with the first one. */
+/* A separator keeps the end of one text apart from the start of the next. */
+static void
+add_text (struct eel_crash_content *content, const char *text)
+{
+  eel_crash_content_add (content, text, strlen (text) + 1);
+}
+
+void
+eel_crash_content_init (struct eel_crash_content *content,
+                        const struct eel_head *request,
+                        const char *caller_service)
+{
+  XXH64_reset (&content->hash, 0);
+  add_text (content, caller_service);
+  add_text (content, request->method);
+  add_text (content, eel_head_target (request));
+}
+
+/* Pieces of any size give the same hash. */
+void
+eel_crash_content_add (struct eel_crash_content *content,
+                       const void *data,
+                       size_t bytes)
+{
+  XXH64_update (&content->hash, data, bytes);
+}
+
 uint64_t
-eel_crash_fingerprint (const struct eel_head *request,
-                       const char *caller_service)
+eel_crash_content_fingerprint (const struct eel_crash_content *content)
 {
-  const char *target = eel_head_target (request);
-  uint64_t hash;
+  uint64_t hash = XXH64_digest (&content->hash);
 
-  if (request->framing == EEL_FRAMING_CHUNKED
-      || (request->framing == EEL_FRAMING_LENGTH && request->length_bytes > 0))
-    return 0;
-  hash = eel_hash64 (caller_service, strlen (caller_service), 0);
-  hash = eel_hash64 (request->method, strlen (request->method), hash);
-  hash = eel_hash64 (target, strlen (target), hash);
   return hash == 0 ? 1 : hash;
 }
 
--- a/src/relay/crash.h
+++ b/src/relay/crash.h
@@ -1,7 +1,11 @@
 #ifndef EEL_RELAY_CRASH_H
 #define EEL_RELAY_CRASH_H
 
+#include <stddef.h>
 #include <stdint.h>
+/* For a hash state in memory that the caller owns. */
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
 
 /* Detects requests that crash endpoints and shares them between nodes. */
 
@@ -9,10 +13,22 @@
 struct eel_relay;
 struct evbuffer;
 
-/* Hash of caller service, method and target; 0 for requests with a body, which
-   is not known yet when they are placed. */
-uint64_t eel_crash_fingerprint (const struct eel_head *request,
-                                const char *caller_service);
+/* Hash of what a request that is sent again has in common with the first one:
+   caller service, method, target and body. */
+struct eel_crash_content
+{
+  XXH64_state_t hash;
+};
+
+void eel_crash_content_init (struct eel_crash_content *content,
+                             const struct eel_head *request,
+                             const char *caller_service);
+void eel_crash_content_add (struct eel_crash_content *content,
+                            const void *data,
+                            size_t bytes);
+/* Returns the fingerprint of the whole request; never 0. */
+uint64_t
+eel_crash_content_fingerprint (const struct eel_crash_content *content);
 /* Writes the newest quarantine entry, if any, as an Eel-Crashed field. */
 void eel_crash_write (const struct eel_relay *relay, struct evbuffer *out);
 /* Merges the Eel-Crashed field of another node's message, if any. */
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -7,9 +7,9 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
-#include "relay/crash.h"
 
-/* A longer body is not buffered, so the request can't be retried. */
+/* A longer body is not buffered, so the request can't be retried, nor held back
+   until the body is known. */
 #define REPLAY_BYTES_MAX 65536
 /* Reading the request's body pauses while more than this waits to be sent. */
 #define BODY_PENDING_BYTES_MAX 262144
@@ -114,8 +114,6 @@
     .request_id
     = eel_head_get (&exchange->request, relay->config.header_names->request_id),
     .caller_service = relay->config.service,
-    .fingerprint
-    = eel_crash_fingerprint (&exchange->request, relay->config.service),
     .route = route->id,
     .route_target_us = route->target_us,
     .service = eel_route_pick_service (route),
@@ -125,6 +123,8 @@
     .deadline_us = now_us + time_limit_us (relay, &exchange->request, route),
   };
   exchange->state = entry;
+  eel_crash_content_init (&entry->content, &exchange->request,
+                          relay->config.service);
   if (entry->replay != NULL && start_deadline (entry))
     return entry;
   eel_entry_free (entry);
@@ -156,13 +156,27 @@
   return route;
 }
 
+/* Offers the request to an endpoint unless requests of its content crash them.
+   May free the entry. */
+static void
+place (struct eel_entry *entry)
+{
+  entry->held_back = 0;
+  if (entry->call.fingerprint != 0
+      && eel_quarantine_check (&entry->relay->quarantine,
+                               entry->call.fingerprint, eel_clock_us ())
+             == EEL_QUARANTINE_REFUSED)
+    eel_entry_answer_error (entry, EEL_ERROR_CRASHES_UPSTREAMS);
+  else
+    eel_entry_next (entry, EEL_ERROR_NO_ENDPOINT);
+}
+
 static int
-is_quarantined (const struct eel_entry *entry)
+has_body (const struct eel_head *request)
 {
-  return entry->call.fingerprint != 0
-         && eel_quarantine_check (&entry->relay->quarantine,
-                                  entry->call.fingerprint, entry->arrived_us)
-                == EEL_QUARANTINE_REFUSED;
+  return request->framing == EEL_FRAMING_CHUNKED
+         || (request->framing == EEL_FRAMING_LENGTH
+             && request->length_bytes > 0);
 }
 
 static void
@@ -184,18 +198,20 @@
   eel_call_costs_count_call (&relay->call_costs, route->id);
   eel_retry_share_request (&relay->retries[entry->call.service],
                            entry->arrived_us);
-  if (is_quarantined (entry))
-    {
-      eel_entry_answer_error (entry, EEL_ERROR_CRASHES_UPSTREAMS);
-      return;
-    }
   if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
                              entry->arrived_us, &relay->rng))
     {
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
       return;
     }
-  eel_entry_next (entry, EEL_ERROR_NO_ENDPOINT);
+  entry->held_back
+      = has_body (&exchange->request)
+        && eel_quarantine_newest (&relay->quarantine, entry->arrived_us)
+               != NULL;
+  if (!has_body (&exchange->request))
+    entry->call.fingerprint = eel_crash_content_fingerprint (&entry->content);
+  if (!entry->held_back)
+    place (entry);
 }
 
 /* Buffers the body for another attempt up to REPLAY_BYTES_MAX. */
@@ -218,6 +234,12 @@
 {
   struct eel_entry *entry = exchange->state;
 
+  eel_crash_content_add (&entry->content, data, bytes);
+  if (entry->held_back
+      && evbuffer_get_length (entry->replay) + bytes > REPLAY_BYTES_MAX)
+    place (entry);
+  if (exchange->state == NULL)
+    return;
   keep_for_replay (entry, data, bytes);
   if (entry->attempt == NULL)
     return;
@@ -232,8 +254,11 @@
   struct eel_entry *entry = exchange->state;
 
   entry->body_done = 1;
+  entry->call.fingerprint = eel_crash_content_fingerprint (&entry->content);
   if (entry->attempt != NULL)
-    eel_attempt_body_end (entry->attempt);
+    eel_attempt_body_end (entry->attempt, entry->call.fingerprint);
+  else if (entry->held_back)
+    place (entry);
 }
 
 /* The caller closed its connection: cancels the run. */
@@ -271,7 +296,7 @@
     eel_attempt_body (entry->attempt, evbuffer_pullup (entry->replay, -1),
                       bytes);
   if (entry->body_done)
-    eel_attempt_body_end (entry->attempt);
+    eel_attempt_body_end (entry->attempt, entry->call.fingerprint);
 }
 
 /* Returns the endpoint to try next, or NULL when none is left. */
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -3,6 +3,7 @@
 
 #include "eelgrasslatch/error.h"
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/relay.h"
 
 /* A caller's request at its entry node. */
@@ -33,6 +34,10 @@
   /* Body received so far, for another attempt; NULL once it is too long. */
   struct evbuffer *replay;
   uint8_t body_done;
+  struct eel_crash_content content;
+  /* Offered to no endpoint until the body is known: the request may be one that
+     crashes endpoints. */
+  uint8_t held_back;
 
   /* The answer is buffered until it is complete or exceeds a limit. */
   struct evbuffer *lines;
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -31,6 +31,7 @@
   struct eel_attempt *attempt;
   struct eel_relay_call call;
   struct event *deadline;
+  struct eel_crash_content content;
   uint8_t answered;
 };
 
@@ -206,8 +207,6 @@
   call->rank = (uint8_t)rank;
   call->idempotent = (uint8_t)(idempotent != 0);
   eel_crash_read (relay, request);
-  if (call->caller_service != NULL)
-    call->fingerprint = eel_crash_fingerprint (request, call->caller_service);
   call->target_us = now_us + target_ms * EEL_US_PER_MS;
   call->deadline_us = now_us + strtoll (remaining, NULL, 10) * EEL_US_PER_MS;
   return call->caller_service != NULL;
@@ -254,6 +253,8 @@
       refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
+  eel_crash_content_init (&run->content, &exchange->request,
+                          run->call.caller_service);
   /* The entry node sends the body, or its end, only after this. */
   eel_exchange_continue (exchange);
 }
@@ -279,9 +280,13 @@
       return;
     }
   if (end)
-    eel_attempt_body_end (run->attempt);
+    eel_attempt_body_end (run->attempt,
+                          eel_crash_content_fingerprint (&run->content));
   else
-    eel_attempt_body (run->attempt, data, bytes);
+    {
+      eel_crash_content_add (&run->content, data, bytes);
+      eel_attempt_body (run->attempt, data, bytes);
+    }
   if (eel_attempt_pending_bytes (run->attempt) > BODY_PENDING_BYTES_MAX)
     eel_exchange_pause (exchange, 1);
   /* May free the run. */
--- a/tests/unit/test_relay_crash.cc
+++ b/tests/unit/test_relay_crash.cc
@@ -20,6 +20,22 @@
     if (conn->bev != nullptr)
       raw_upstream::end (*conn, true);
 }
+
+// A request whose body comes in chunks of one and then more bytes.
+std::string
+chunked_text (const std::string &method,
+              const std::string &target,
+              const std::string &id,
+              const std::string &body)
+{
+  char size[32];
+
+  snprintf (size, sizeof size, "%zx", body.size () - 1);
+  return method + " " + target + " HTTP/1.1\r\nHost: shop.example\r\nReq-Id: "
+         + id + "\r\nLeft-Ms: 5000\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n"
+         + body.substr (0, 1) + "\r\n" + size + "\r\n" + body.substr (1)
+         + "\r\n0\r\n\r\n";
+}
 }
 
 // Guards against a request that crashes one endpoint after the other.  Callers
@@ -72,6 +88,78 @@
   EXPECT_EQ (field_of (last, "Eel-Crashed"), "");
 }
 
+// Guards against a request with a body that crashes one endpoint after the
+// other: only its body tells it from others of the same method and path.
+TEST (Relay, BodyThatCrashesTwoEndpointsReachesNoThird)
+{
+  const std::string long_body (100000, 'a');
+
+  for (bool chunked : { false, true })
+    {
+      relay_cluster cluster (4);
+
+      for (size_t node = 1; node < 4; node++)
+        {
+          cluster.list_upstream (node);
+          cluster.nodes[node]->upstream.answer
+              = [] (raw_upstream &upstream, raw_conn &conn,
+                    const std::string &request) {
+                  if (request.find ("oison") == std::string::npos)
+                    raw_upstream::write (conn, answer_text (request, "ok"));
+                  else
+                    crash (upstream);
+                };
+        }
+      cluster.set_routes ();
+      auto post = [&cluster, chunked] (const std::string &id,
+                                       const std::string &body) {
+        return cluster.send_request (
+            chunked ? chunked_text ("POST", "/once/order", id, body)
+                    : request_text ("POST", "/once/order", id, "", body));
+      };
+      size_t ran = 0;
+      for (int n = 0; n < 6; n++)
+        {
+          std::string id = std::to_string (n);
+
+          post ("bad" + id, "poison");
+          for (int other = 0; other < 12; other++)
+            EXPECT_EQ (
+                post ("x" + id + "-" + std::to_string (other), "fine" + id)
+                    .substr (9, 3),
+                "200");
+        }
+      for (auto &node : cluster.nodes)
+        for (const std::string &request : node->upstream.requests)
+          ran += request.find ("oison") != std::string::npos;
+      EXPECT_EQ (ran, 2u) << chunked;
+      std::string last = post ("last", "poison");
+      EXPECT_EQ (last.substr (9, 3), "503") << chunked;
+      EXPECT_NE (field_of (last, "Retry-After"), "");
+      // A body that is too long to be held is passed on as it arrives.
+      EXPECT_EQ (post ("long", long_body).substr (9, 3), "200") << chunked;
+    }
+}
+
+// Guards against memory that a held body takes without end, and against a
+// request that is offered to an endpoint although its caller left it
+// unfinished.
+TEST (Relay, HeldBodyThatNeverEndsIsNotRunAndEndsWithItsTimeLimit)
+{
+  relay_cluster cluster (2);
+  const uint64_t suspect = 7;
+
+  cluster.list_upstream (1);
+  cluster.set_routes (300);
+  eel_quarantine_crashed (&cluster.nodes[0]->relay.quarantine, &suspect, 1,
+                          eel_clock_us ());
+  std::string answer = cluster.send_request (
+      "POST /once/x HTTP/1.1\r\nHost: shop.example\r\nReq-Id: a\r\n"
+      "Left-Ms: 5000\r\nContent-Length: 100\r\n\r\nhalf");
+  EXPECT_EQ (answer.substr (9, 3), "503");
+  EXPECT_TRUE (cluster.nodes[1]->upstream.requests.empty ());
+}
+
 // Guards against malformed and out-of-range Eel-Crashed fields of other nodes.
 TEST (Relay, InvalidCrashFieldOfAnotherNodeIsIgnored)
 {
