Prefer endpoints that fail fewer of their runs, and refuse what can't succeed

Roots ran whose calls found no endpoint in a cut-off domain. Change: the node beside an endpoint keeps the share of runs that failed by its own fault and reports it with its load; endpoints above the soundest of their service are not preferred. A crash is found by a connection of the node's own, since requests avoid what fails. An endpoint without a report counts as the mean. A route without a reachable endpoint causes more pressure than any rank may. An answer between nodes that only a close ends is refused.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -48,6 +48,9 @@
   /* Load that its node reported last, in thousandths of its limit. */
   uint32_t use_milli;
   int64_t use_at_us;
+  /* Share of runs that failed by the endpoint's own fault, by the same report.
+   */
+  uint32_t fault_milli;
   /* Avoided until this time; grows with consecutive failures. */
   int64_t avoid_until_us;
   uint32_t failures;
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -11,7 +11,11 @@
  *
  * Made for loads in which the own failure domain mostly has room and traffic
  * to other domains is expensive: picks the least used endpoint of the own
- * domain until all of them are nearly full, then the least used of all.
+ * domain until all of them are nearly full, then the least used of all.  An
+ * endpoint that fails more of its runs than the soundest of its service gets
+ * requests only when the sound ones of all domains are much busier, and is
+ * tried again from time to time.  One that nobody has reported on counts as
+ * used like the others, so that it gets its first requests.
  */
 
 /* Use of the limit, in thousandths, above which requests leave the domain. */
@@ -31,9 +35,11 @@
                                      int64_t now_us,
                                      struct eel_rng *rng);
 void eel_place_sent (struct eel_instance *instance);
-/* use_milli is what the endpoint's node reported with the answer. */
+/* use_milli and fault_milli are what the endpoint's node reported with the
+   answer. */
 void eel_place_answered (struct eel_instance *instance,
                          uint32_t use_milli,
+                         uint32_t fault_milli,
                          int64_t now_us);
 void eel_place_shed (struct eel_instance *instance);
 /* The node or its endpoint was unreachable, or the connection was lost. */
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -97,6 +97,8 @@
   /* A local attempt holds a slot; a remote one is counted at the instance. */
   uint8_t running;
   uint8_t answer_started;
+  /* The endpoint's own answer is a failure. */
+  uint8_t answer_failed;
   uint8_t answer_done;
   int64_t started_us;
   /* The answer is a refusal of this kind and is not relayed. */
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -16,6 +16,12 @@
    an endpoint answered with its identity. */
 #define ACTUAL_INSTANCE_LIFE_US (4 * EEL_US_PER_S)
 
+/* An endpoint ends a run this long before its deadline at the earliest because
+   of it. */
+#define DEADLINE_MARGIN_US (20 * EEL_US_PER_MS)
+/* A run with this many times the mean hold time has time enough. */
+#define HOLD_FACTOR_AMPLE 4.0
+
 static void
 release_slot (struct eel_attempt *attempt, int record_hold)
 {
@@ -30,6 +36,32 @@
     eel_metric_observe (attempt->relay->counters.hold, held_us);
 }
 
+/*
+ * Returns true for a failed run that is the endpoint's own fault.  It is not
+ * when a request that entered here failed meanwhile, which may have been a call
+ * that the run needed, or when the run began too late to meet its deadline.
+ */
+static int
+is_own_fault (const struct eel_attempt *attempt, int64_t now_us)
+{
+  const struct eel_relay *relay = attempt->relay;
+  int64_t allowed_us = attempt->call.deadline_us - attempt->started_us;
+
+  return relay->entry_failed_us < attempt->started_us
+         && (now_us < attempt->call.deadline_us - DEADLINE_MARGIN_US
+             || allowed_us > HOLD_FACTOR_AMPLE * relay->gate.hold_us);
+}
+
+/* Records how a run ended. */
+static void
+record_run (struct eel_attempt *attempt, int failed)
+{
+  int64_t now_us = eel_clock_us ();
+
+  eel_fault_rate_record (&attempt->relay->fault_rate,
+                         failed && is_own_fault (attempt, now_us), now_us);
+}
+
 /* Frees the slot, then reports the failure. */
 static void
 local_fail (struct eel_attempt *attempt,
@@ -67,7 +99,8 @@
     return;
   eel_relay_own_load (attempt->relay, attempt->call.route, &load);
   if (attempt->instance != NULL)
-    eel_place_answered (attempt->instance, load.use_milli, eel_clock_us ());
+    eel_place_answered (attempt->instance, load.use_milli, load.fault_milli,
+                        eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
 }
@@ -98,6 +131,7 @@
       = head->status == 421 ? EEL_FAILURE_MISDIRECTED : EEL_FAILURE_SHED;
   if (head->status == 421)
     record_actual_instance (attempt->relay, head);
+  attempt->answer_failed = (uint8_t)(head->status >= 500);
   if (!not_run)
     attempt->ops->head (attempt->owner, head);
   return 1;
@@ -116,6 +150,7 @@
       return;
     }
   release_slot (attempt, 1);
+  record_run (attempt, attempt->answer_failed);
   eel_crash_clear_suspect (relay, attempt->call.fingerprint);
   attempt->answer_done = 1;
   attempt->ops->end (attempt->owner);
@@ -129,8 +164,12 @@
 
   attempt->link = NULL;
   if (sent)
-    eel_crash_watch_interrupted (&attempt->relay->crash_watch,
-                                 attempt->call.fingerprint, eel_clock_us ());
+    {
+      eel_crash_watch_interrupted (&attempt->relay->crash_watch,
+                                   attempt->call.fingerprint, eel_clock_us ());
+      attempt->relay->interrupted++;
+      eel_reach_want (&attempt->relay->endpoint_reach, eel_clock_us ());
+    }
   else
     eel_crash_endpoint_down (attempt->relay);
   local_fail (attempt, sent ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
@@ -285,6 +324,8 @@
   if (attempt->link != NULL)
     eel_link_cancel (attempt->link);
   attempt->link = NULL;
+  if (was_running && eel_clock_us () >= attempt->call.deadline_us)
+    record_run (attempt, 1);
   release_slot (attempt, 0);
   if (was_running)
     eel_relay_dispatch_queued (relay);
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -47,11 +47,13 @@
   struct eel_relay_load load;
 
   if (text == NULL
-      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64, &load.use_milli,
-                 &load.wait_us, &load.callee_pressure_milli, &load.revision)
-             != 4)
+      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u", &load.use_milli,
+                 &load.wait_us, &load.callee_pressure_milli, &load.revision,
+                 &load.fault_milli)
+             != 5)
     return;
-  eel_place_answered (attempt->instance, load.use_milli, eel_clock_us ());
+  eel_place_answered (attempt->instance, load.use_milli, load.fault_milli,
+                      eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
 }
@@ -122,7 +124,9 @@
   const char *id
       = eel_head_get (head, attempt->relay->config.header_names->request_id);
 
-  if (!eel_attempt_id_fits (attempt, id))
+  /* Nodes send no body that only the end of its connection ends, which would
+     look complete when a process is killed. */
+  if (!eel_attempt_id_fits (attempt, id) || head->framing == EEL_FRAMING_CLOSE)
     return 0;
   record_load (attempt, head);
   eel_crash_read (attempt->relay, head);
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -20,6 +20,9 @@
 /* Reported when an endpoint sheds: it is full even if its node counts free
    slots. */
 #define SHED_PRESSURE_MILLI 2000.0
+/* Reported when no endpoint can be reached: requests of any rank that need this
+   route are bound to fail. */
+#define UNREACHABLE_PRESSURE_MILLI 10000.0
 /* Extends Retry-After in proportion to the refused share of the route, since a
    stronger overload is likely to last longer. */
 #define RETRY_AFTER_REFUSE_FACTOR 4.0
@@ -112,6 +115,10 @@
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route));
   if (entry->tried_count > 0)
     report_outcome (entry, 1);
+  if (error == EEL_ERROR_NO_ENDPOINT)
+    eel_entry_gate_report_pressure (&relay->entry_gate, entry->call.route,
+                                    UNREACHABLE_PRESSURE_MILLI, now_us);
+  relay->entry_failed_us = now_us;
   eel_entry_free (entry);
   eel_entry_refuse (exchange, reported, after_us);
 }
@@ -255,6 +262,8 @@
     }
   log_upstream_error (entry, latency_us);
   report_outcome (entry, entry->status >= 500);
+  if (entry->status >= 500)
+    entry->relay->entry_failed_us = entry->arrived_us + latency_us;
   eel_crash_clear_suspect (entry->relay, entry->call.fingerprint);
   eel_metric_add (entry->relay->counters.served, 1);
   eel_metric_observe (entry->relay->counters.latency, latency_us);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -7,6 +7,7 @@
 
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/crash.h"
 #include "relay/entry.h"
 
 #define INSTANCES_MAX 4096
@@ -51,14 +52,30 @@
     return;
   g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
              "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-             " callers=%u links=%u",
+             " callers=%u links=%u faults=%u",
              gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
              gate->started - relay->load_logged_started, gate->refused,
-             relay->callers.exchange_count, relay->endpoint_pool.open_count);
+             relay->callers.exchange_count, relay->endpoint_pool.open_count,
+             eel_fault_rate_milli (&relay->fault_rate, now_us));
   relay->load_logged_us = now_us;
   relay->load_logged_started = gate->started;
 }
 
+/* Interrupted runs are the fault of an endpoint that still accepts connections;
+   otherwise it has crashed. */
+static void
+on_endpoint_checked (void *owner, int accepts)
+{
+  struct eel_relay *relay = owner;
+  int64_t now_us = eel_clock_us ();
+
+  for (; accepts && relay->interrupted > 0; relay->interrupted--)
+    eel_fault_rate_record (&relay->fault_rate, 1, now_us);
+  relay->interrupted = 0;
+  if (!accepts)
+    eel_crash_endpoint_down (relay);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *data)
 {
@@ -69,6 +86,7 @@
   (void)what;
   eel_directory_tick (&relay->directory, now_us);
   eel_call_costs_tick (&relay->call_costs, now_us);
+  eel_reach_tick (&relay->endpoint_reach, now_us);
   eel_server_sweep (&relay->callers, now_us);
   eel_server_sweep (&relay->peers, now_us);
   eel_pool_sweep (&relay->endpoint_pool, now_us);
@@ -131,12 +149,15 @@
   eel_gate_init (&relay->gate, INITIAL_SLOTS);
   eel_entry_gate_init (&relay->entry_gate);
   eel_call_costs_init (&relay->call_costs);
+  eel_fault_rate_init (&relay->fault_rate);
   eel_crash_watch_init (&relay->crash_watch);
   eel_quarantine_init (&relay->quarantine, relay->quarantine_entries,
                        EEL_RELAY_QUARANTINE_MAX, QUARANTINE_LIFE_US);
   init_retries (relay);
   init_counters (&relay->counters, metrics);
   eel_pool_init (&relay->endpoint_pool, base, &config->endpoint);
+  eel_reach_init (&relay->endpoint_reach, base, &config->endpoint,
+                  on_endpoint_checked, relay);
   relay->peer_pools
       = g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, pool_free);
   if (instances == NULL)
@@ -156,6 +177,7 @@
   eel_server_finish (&relay->callers);
   eel_server_finish (&relay->peers);
   eel_pool_finish (&relay->endpoint_pool);
+  eel_reach_finish (&relay->endpoint_reach);
   g_hash_table_destroy (relay->peer_pools);
   if (relay->tick != NULL)
     event_free (relay->tick);
@@ -281,6 +303,7 @@
   load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
       &relay->entry_gate, &relay->call_costs, route, now_us);
   load->revision = relay->revision;
+  load->fault_milli = eel_fault_rate_milli (&relay->fault_rate, now_us);
 }
 
 /* Records the greater of the pressure at the service (expected wait relative to
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -8,12 +8,14 @@
 #include "eelgrasslatch/crash_watch.h"
 #include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/entry_gate.h"
+#include "eelgrasslatch/fault_rate.h"
 #include "eelgrasslatch/gate.h"
 #include "eelgrasslatch/retry_share.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
 #include "internal/metrics.h"
 #include "relay/pool.h"
+#include "relay/reach.h"
 #include "relay/server.h"
 
 /*
@@ -84,6 +86,8 @@
   uint32_t callee_pressure_milli;
   /* Newest revision of a published item that the node has received. */
   uint64_t revision;
+  /* Share of runs that failed by the endpoint's own fault, in thousandths. */
+  uint32_t fault_milli;
 };
 
 struct eel_relay
@@ -106,6 +110,14 @@
   struct eel_server callers;
   struct eel_server peers;
   struct eel_pool endpoint_pool;
+  struct eel_reach endpoint_reach;
+  /* Runs that were interrupted since the last check of the endpoint. */
+  uint32_t interrupted;
+  /* Of this node's endpoint. */
+  struct eel_fault_rate fault_rate;
+  /* When a request that entered here failed last: it may have been a call of
+     this node's endpoint. */
+  int64_t entry_failed_us;
   /* Endpoint that answered instead of the expected one; valid until the time
      below. */
   char actual_instance[EEL_INSTANCE_ID_MAX];
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -5,8 +5,18 @@
 
 /* Age above which a reported use is ignored; load waves last seconds. */
 #define USE_LIFE_US (1500 * EEL_US_PER_MS)
-/* An endpoint without a fresh report counts as half used. */
+/* An endpoint without a fresh report counts as half used, or as the mean of the
+ * others where that is lower, so that one that has just joined is tried on a
+ * quiet day too. */
 #define USE_UNKNOWN_MILLI 500
+/* Age above which a report of faults is ignored, which gets the endpoint a
+ * request and so a new report.  Each sender does this, so it is rare. */
+#define FAULT_LIFE_US (6 * EEL_US_PER_S)
+/* Fault rate, above the lowest of the service, from which on an endpoint of the
+ * own domain is not preferred. */
+#define FAULT_SPILL_MILLI 150
+/* Cost of a fault rate of 1: that of a use of twice the limit. */
+#define FAULT_COST_FACTOR 2
 /* Bounds of the backoff for which a failing endpoint is avoided. */
 #define AVOID_FIRST_US (250 * EEL_US_PER_MS)
 #define AVOID_MAX_US (2 * EEL_US_PER_S)
@@ -45,15 +55,77 @@
   return 0;
 }
 
+/* What is known of the usable endpoints of one service. */
+struct service_view
+{
+  /* Assumed of an endpoint without a fresh report. */
+  uint32_t assumed_use_milli;
+  /* Lowest of the fresh reports. */
+  uint32_t least_fault_milli;
+};
+
+static int
+has_report (const struct eel_instance *instance,
+            int64_t life_us,
+            int64_t now_us)
+{
+  return instance->use_at_us > 0 && now_us - instance->use_at_us < life_us;
+}
+
+static void
+view_service (const struct eel_directory *directory,
+              uint16_t service,
+              int64_t now_us,
+              struct service_view *view)
+{
+  uint64_t use_milli = 0;
+  uint32_t reports = 0;
+
+  view->least_fault_milli = UINT32_MAX;
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      const struct eel_instance *instance = &directory->instances[i];
+
+      if (instance->service != service || !eel_instance_usable (instance))
+        continue;
+      if (has_report (instance, USE_LIFE_US, now_us))
+        {
+          use_milli += instance->use_milli;
+          reports++;
+        }
+      if (has_report (instance, FAULT_LIFE_US, now_us)
+          && instance->fault_milli < view->least_fault_milli)
+        view->least_fault_milli = instance->fault_milli;
+    }
+  view->assumed_use_milli = USE_UNKNOWN_MILLI;
+  if (reports > 0 && use_milli / reports < USE_UNKNOWN_MILLI)
+    view->assumed_use_milli = (uint32_t)(use_milli / reports);
+}
+
+/* Returns the fault rate above that of the soundest endpoint: what all share is
+ * the fault of something that all of them need. */
+static uint32_t
+excess_fault (const struct eel_instance *instance,
+              const struct service_view *view,
+              int64_t now_us)
+{
+  if (!has_report (instance, FAULT_LIFE_US, now_us)
+      || instance->fault_milli <= view->least_fault_milli)
+    return 0;
+  return instance->fault_milli - view->least_fault_milli;
+}
+
 /* Returns the expected use of an endpoint's slots in thousandths. */
 static uint32_t
-expected_use (const struct eel_instance *instance, int64_t now_us)
+expected_use (const struct eel_instance *instance,
+              const struct service_view *view,
+              int64_t now_us)
 {
   uint32_t slots = instance->slots > 0 ? instance->slots : 1;
   uint32_t own = instance->in_flight * 1000 / slots;
-  uint32_t use = USE_UNKNOWN_MILLI;
+  uint32_t use = view->assumed_use_milli;
 
-  if (instance->use_at_us > 0 && now_us - instance->use_at_us < USE_LIFE_US)
+  if (has_report (instance, USE_LIFE_US, now_us))
     use = instance->use_milli;
   if (own > use)
     use = own;
@@ -64,17 +136,23 @@
 
 /* Lower is better; an endpoint in backoff comes last. */
 static uint64_t
-cost (const struct eel_instance *instance, int64_t now_us, struct eel_rng *rng)
+cost (const struct eel_instance *instance,
+      const struct service_view *view,
+      int64_t now_us,
+      struct eel_rng *rng)
 {
-  uint64_t use = expected_use (instance, now_us);
+  uint64_t use = expected_use (instance, view, now_us);
   uint64_t noise = eel_rng_below (rng, NOISE_MILLI);
+  uint32_t fault_milli = excess_fault (instance, view, now_us);
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
-      && instance->shed_rate < SHED_RATE_SPILL)
+      && instance->shed_rate < SHED_RATE_SPILL
+      && fault_milli < FAULT_SPILL_MILLI)
     return use + noise;
-  return 1000 + use + noise + (uint64_t)(SHED_COST_MILLI * instance->shed_rate);
+  return 1000 + use + noise + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
+         + FAULT_COST_FACTOR * fault_milli;
 }
 
 /* Returns the usable endpoint of lowest cost that was not tried. */
@@ -86,7 +164,9 @@
 {
   struct eel_instance *best = NULL;
   uint64_t best_cost = UINT64_MAX;
+  struct service_view view;
 
+  view_service (directory, query->service, now_us, &view);
   for (uint32_t i = 0; i < directory->count; i++)
     {
       struct eel_instance *instance = &directory->instances[i];
@@ -95,7 +175,7 @@
       if (instance->service != query->service || !eel_instance_usable (instance)
           || has_pending_trial (instance) || was_tried (query, instance->id))
         continue;
-      instance_cost = cost (instance, now_us, rng);
+      instance_cost = cost (instance, &view, now_us, rng);
       if (instance_cost < best_cost)
         {
           best_cost = instance_cost;
@@ -124,9 +204,11 @@
 void
 eel_place_answered (struct eel_instance *instance,
                     uint32_t use_milli,
+                    uint32_t fault_milli,
                     int64_t now_us)
 {
   instance->use_milli = use_milli;
+  instance->fault_milli = fault_milli;
   instance->use_at_us = now_us;
   instance->failures = 0;
   instance->avoid_until_us = 0;
--- a/tests/unit/test_relay_crash.cc
+++ b/tests/unit/test_relay_crash.cc
@@ -141,6 +141,46 @@
     }
 }
 
+// Guards against a crash that nobody notices because the next requests avoid
+// the endpoint.
+TEST (Relay, CrashIsNoticedWithoutAnotherRequest)
+{
+  relay_cluster cluster (2);
+  const struct eel_quarantine &known = cluster.nodes[1]->relay.quarantine;
+
+  cluster.list_upstream (1);
+  cluster.set_routes ();
+  cluster.nodes[1]->upstream.answer
+      = [] (raw_upstream &upstream, raw_conn &, const std::string &) {
+          crash (upstream);
+        };
+  EXPECT_EQ (cluster.send_request (request_text ("DELETE", "/once/bad", "b"))
+                 .substr (9, 3),
+             "502");
+  EXPECT_TRUE (cluster.run_until ([&known] { return known.count == 1; }, 1000));
+}
+
+// Guards against callers that get the failures of an endpoint which loses its
+// answers, while another one is sound.
+TEST (Relay, EndpointThatLosesItsAnswersGetsFewRequests)
+{
+  relay_cluster cluster (3);
+  size_t lost = 0;
+
+  cluster.list_upstream (1);
+  cluster.list_upstream (2);
+  cluster.set_routes ();
+  cluster.nodes[1]->upstream.answer
+      = [&lost] (raw_upstream &, raw_conn &conn, const std::string &) {
+          lost++;
+          raw_upstream::end (conn, true);
+        };
+  for (int n = 0; n < 100; n++)
+    cluster.send_request (
+        request_text ("POST", "/once/x", "r" + std::to_string (n)));
+  EXPECT_LE (lost, 10u);
+}
+
 // Guards against memory that a held body takes without end, and against a
 // request that is offered to an endpoint although its caller left it
 // unfinished.
