Spread requests that leave their domain over the endpoints

Change: outside the preferred endpoints the random part of an endpoint's cost grows with its use; what a node reports is one struct.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -25,6 +25,15 @@
   EEL_INSTANCE_REMOVED
 };
 
+/* What the node beside an endpoint tells with each answer. */
+struct eel_instance_report
+{
+  /* Use of the limit in thousandths; above 1000 requests wait. */
+  uint32_t use_milli;
+  /* Share of runs that failed by the endpoint's own fault, in thousandths. */
+  uint32_t fault_milli;
+};
+
 struct eel_instance
 {
   char id[EEL_INSTANCE_ID_MAX];
@@ -45,12 +54,9 @@
   uint32_t in_flight;
   /* Requests among these that its node has not accepted yet. */
   uint32_t unaccepted;
-  /* Load that its node reported last, in thousandths of its limit. */
-  uint32_t use_milli;
-  int64_t use_at_us;
-  /* Share of runs that failed by the endpoint's own fault, by the same report.
-   */
-  uint32_t fault_milli;
+  /* What its node reported last, and when. */
+  struct eel_instance_report report;
+  int64_t reported_us;
   /* Avoided until this time; grows with consecutive failures. */
   int64_t avoid_until_us;
   uint32_t failures;
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -35,11 +35,8 @@
                                      int64_t now_us,
                                      struct eel_rng *rng);
 void eel_place_sent (struct eel_instance *instance);
-/* use_milli and fault_milli are what the endpoint's node reported with the
-   answer. */
 void eel_place_answered (struct eel_instance *instance,
-                         uint32_t use_milli,
-                         uint32_t fault_milli,
+                         const struct eel_instance_report *report,
                          int64_t now_us);
 void eel_place_shed (struct eel_instance *instance);
 /* The node or its endpoint was unreachable, or the connection was lost. */
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -99,8 +99,7 @@
     return;
   eel_relay_own_load (attempt->relay, attempt->call.route, &load);
   if (attempt->instance != NULL)
-    eel_place_answered (attempt->instance, load.use_milli, load.fault_milli,
-                        eel_clock_us ());
+    eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
 }
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -47,13 +47,13 @@
   struct eel_relay_load load;
 
   if (text == NULL
-      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u", &load.use_milli,
-                 &load.wait_us, &load.callee_pressure_milli, &load.revision,
-                 &load.fault_milli)
+      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u",
+                 &load.endpoint.use_milli, &load.wait_us,
+                 &load.callee_pressure_milli, &load.revision,
+                 &load.endpoint.fault_milli)
              != 5)
     return;
-  eel_place_answered (attempt->instance, load.use_milli, load.fault_milli,
-                      eel_clock_us ());
+  eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -294,16 +294,17 @@
 {
   int64_t now_us = eel_clock_us ();
 
-  load->use_milli = eel_gate_use_milli (&relay->gate, now_us);
+  load->endpoint.use_milli = eel_gate_use_milli (&relay->gate, now_us);
   /* A stopping node reports a high load, so until it refuses requests it gets
      only those that find no room elsewhere. */
-  if (relay->stopping && load->use_milli < STOPPING_USE_MILLI)
-    load->use_milli = STOPPING_USE_MILLI;
+  if (relay->stopping && load->endpoint.use_milli < STOPPING_USE_MILLI)
+    load->endpoint.use_milli = STOPPING_USE_MILLI;
   load->wait_us = eel_gate_wait_us (&relay->gate);
   load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
       &relay->entry_gate, &relay->call_costs, route, now_us);
   load->revision = relay->revision;
-  load->fault_milli = eel_fault_rate_milli (&relay->fault_rate, now_us);
+  load->endpoint.fault_milli
+      = eel_fault_rate_milli (&relay->fault_rate, now_us);
 }
 
 /* Records the greater of the pressure at the service (expected wait relative to
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -78,16 +78,13 @@
 /* Load of an endpoint, which its node reports with each answer. */
 struct eel_relay_load
 {
-  /* Use of the slots in thousandths; above 1000 requests wait. */
-  uint32_t use_milli;
+  struct eel_instance_report endpoint;
   /* Expected wait of a request of the lowest rank. */
   int64_t wait_us;
   /* Greatest pressure on routes called by requests of the answer's route. */
   uint32_t callee_pressure_milli;
   /* Newest revision of a published item that the node has received. */
   uint64_t revision;
-  /* Share of runs that failed by the endpoint's own fault, in thousandths. */
-  uint32_t fault_milli;
 };
 
 struct eel_relay
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -25,6 +25,9 @@
 /* Random spread, so that senders that see the same reports do not all pick the
  * same endpoint. */
 #define NOISE_MILLI 200
+/* Outside the preferred endpoints it grows with the use: what senders know of
+ * other domains is older than the time in which their queues change. */
+#define SPREAD_FACTOR 2
 
 /* EWMA weight of one answer in the share of shed requests. */
 #define SHED_EWMA_WEIGHT 0.1
@@ -69,7 +72,7 @@
             int64_t life_us,
             int64_t now_us)
 {
-  return instance->use_at_us > 0 && now_us - instance->use_at_us < life_us;
+  return instance->reported_us > 0 && now_us - instance->reported_us < life_us;
 }
 
 static void
@@ -90,12 +93,12 @@
         continue;
       if (has_report (instance, USE_LIFE_US, now_us))
         {
-          use_milli += instance->use_milli;
+          use_milli += instance->report.use_milli;
           reports++;
         }
       if (has_report (instance, FAULT_LIFE_US, now_us)
-          && instance->fault_milli < view->least_fault_milli)
-        view->least_fault_milli = instance->fault_milli;
+          && instance->report.fault_milli < view->least_fault_milli)
+        view->least_fault_milli = instance->report.fault_milli;
     }
   view->assumed_use_milli = USE_UNKNOWN_MILLI;
   if (reports > 0 && use_milli / reports < USE_UNKNOWN_MILLI)
@@ -110,9 +113,9 @@
               int64_t now_us)
 {
   if (!has_report (instance, FAULT_LIFE_US, now_us)
-      || instance->fault_milli <= view->least_fault_milli)
+      || instance->report.fault_milli <= view->least_fault_milli)
     return 0;
-  return instance->fault_milli - view->least_fault_milli;
+  return instance->report.fault_milli - view->least_fault_milli;
 }
 
 /* Returns the expected use of an endpoint's slots in thousandths. */
@@ -126,7 +129,7 @@
   uint32_t use = view->assumed_use_milli;
 
   if (has_report (instance, USE_LIFE_US, now_us))
-    use = instance->use_milli;
+    use = instance->report.use_milli;
   if (own > use)
     use = own;
   if (now_us < instance->cold_until_us)
@@ -142,15 +145,16 @@
       struct eel_rng *rng)
 {
   uint64_t use = expected_use (instance, view, now_us);
-  uint64_t noise = eel_rng_below (rng, NOISE_MILLI);
   uint32_t fault_milli = excess_fault (instance, view, now_us);
+  uint64_t noise;
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
       && fault_milli < FAULT_SPILL_MILLI)
-    return use + noise;
+    return use + eel_rng_below (rng, NOISE_MILLI);
+  noise = eel_rng_below (rng, NOISE_MILLI + (uint32_t)use * SPREAD_FACTOR);
   return 1000 + use + noise + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
          + FAULT_COST_FACTOR * fault_milli;
 }
@@ -203,13 +207,11 @@
 /* Ends the backoff and counts an answer that was not shed. */
 void
 eel_place_answered (struct eel_instance *instance,
-                    uint32_t use_milli,
-                    uint32_t fault_milli,
+                    const struct eel_instance_report *report,
                     int64_t now_us)
 {
-  instance->use_milli = use_milli;
-  instance->fault_milli = fault_milli;
-  instance->use_at_us = now_us;
+  instance->report = *report;
+  instance->reported_us = now_us;
   instance->failures = 0;
   instance->avoid_until_us = 0;
   instance->shed_rate -= SHED_EWMA_WEIGHT * instance->shed_rate;
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -38,6 +38,14 @@
     eel_directory_put (&directory, &instance, now_us);
   }
 
+  void
+  answered (const char *id, uint32_t use_milli, int64_t now_us)
+  {
+    const struct eel_instance_report report = { use_milli, 0 };
+
+    eel_place_answered (eel_directory_find (&directory, id), &report, now_us);
+  }
+
   const char *
   pick (int64_t now_us = 0)
   {
@@ -150,7 +158,7 @@
   put (entry ("far", 2, false));
   for (int i = 0; i < 50; i++)
     EXPECT_STREQ (pick (), "own");
-  eel_place_answered (eel_directory_find (&directory, "own"), 1500, 0, 1);
+  answered ("own", 1500, 1);
   EXPECT_STREQ (pick (2), "far");
 }
 
@@ -162,8 +170,7 @@
   for (const char *id : { "a", "b", "slow" })
     {
       put (entry (id, 1));
-      eel_place_answered (eel_directory_find (&directory, id),
-                          id[0] == 's' ? 800 : 300, 0, 1);
+      answered (id, id[0] == 's' ? 800 : 300, 1);
     }
   for (int i = 0; i < 100; i++)
     slow += strcmp (pick (2), "slow") == 0;
@@ -200,7 +207,7 @@
   EXPECT_STREQ (pick (EEL_US_PER_S), "own");
   eel_place_sent (own);
   EXPECT_EQ (pick (EEL_US_PER_S), nullptr);
-  eel_place_answered (own, 100, 0, EEL_US_PER_S);
+  answered ("own", 100, EEL_US_PER_S);
   EXPECT_STREQ (pick (EEL_US_PER_S), "own");
 }
 
@@ -237,7 +244,7 @@
   own = eel_directory_find (&directory, "own");
   for (int i = 0; i < 20; i++)
     {
-      eel_place_answered (own, 100, 0, 1);
+      answered ("own", 100, 1);
       if (i % 2 == 0)
         eel_place_shed (own);
     }
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -94,9 +94,11 @@
         chosen.requests++;
         chosen.failed += (uint32_t)faulty;
         eel_fault_rate_record (&chosen.faults, faulty, now_us);
-        eel_place_answered (picked, chosen.use_milli,
-                            eel_fault_rate_milli (&chosen.faults, now_us),
-                            now_us);
+        const struct eel_instance_report report
+            = { chosen.use_milli,
+                eel_fault_rate_milli (&chosen.faults, now_us) };
+
+        eel_place_answered (picked, &report, now_us);
         for (auto &each : upstreams)
           if (!each.own_domain)
             run_for_others (each);
