Keep a malformed document from ending the process

Cause: toml++ asserts what malformed text can break ("[[" before a control character or the end), and the assertion ended the daemon: one published document would have ended every node. Change: the assertion throws, and the parser's caller gets an error.

--- a/src/toml/toml.cc
+++ b/src/toml/toml.cc
@@ -3,13 +3,24 @@
 #include <cstdlib>
 #include <cstring>
 #include <new>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
 #define TOML_EXCEPTIONS 0
+/* The parser asserts what malformed text can break, such as "[[" before a
+   control character; a document from the network must not end the process. */
+static void fail_assertion ();
+#define TOML_ASSERT(expr) ((expr) ? (void)0 : fail_assertion ())
 #define TOML_ENABLE_FORMATTERS 0
 #include <toml++/toml.h>
 
+static void
+fail_assertion ()
+{
+  throw std::logic_error ("malformed TOML");
+}
+
 namespace
 {
 
@@ -154,18 +165,12 @@
   error[length] = 0;
 }
 
-} // namespace
-
-/*
- * EEL_TOML_DEPTH_MAX is checked after parsing; toml++ itself bounds the nesting
- * of inline values.
- */
 struct eel_toml *
-eel_toml_parse (const char *text,
-                size_t bytes,
-                uint32_t *line,
-                char *error,
-                size_t error_bytes)
+parse_text (const char *text,
+            size_t bytes,
+            uint32_t *line,
+            char *error,
+            size_t error_bytes)
 {
   copy_state state = { 0, "out of memory", 0 };
   struct eel_toml *root;
@@ -187,6 +192,31 @@
   return nullptr;
 }
 
+} // namespace
+
+/*
+ * EEL_TOML_DEPTH_MAX is checked after parsing; toml++ itself bounds the nesting
+ * of inline values.  Where it throws, the line is not known: 0.
+ */
+struct eel_toml *
+eel_toml_parse (const char *text,
+                size_t bytes,
+                uint32_t *line,
+                char *error,
+                size_t error_bytes)
+{
+  try
+    {
+      return parse_text (text, bytes, line, error, error_bytes);
+    }
+  catch (const std::exception &thrown)
+    {
+      *line = 0;
+      set_error (error, error_bytes, thrown.what ());
+      return nullptr;
+    }
+}
+
 /* Frees a tree; NULL is allowed. */
 void
 eel_toml_free (struct eel_toml *root)
