Prefer endpoints that are not slow, and share the fixed retries by all nodes

Cause: an endpoint twelve times slower than the others of its service was preferred in its domain while it had free slots. On 96 nodes each took five fixed retries of a window, 496 in all, where the bound allows 124. "no endpoint" was told although one had no slot in time. Change: nodes report the mean time in a slot; an endpoint four times slower than the fastest of its service is not preferred. The fixed retries are divided by the nodes that the directory lists. Result: Place.SlowEndpointGetsFewRequests and RelayRetries.* failed before and pass.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -32,6 +32,8 @@
   uint32_t use_milli;
   /* Share of runs that failed by the endpoint's own fault, in thousandths. */
   uint32_t fault_milli;
+  /* Mean time that a request holds a slot; 0: unknown. */
+  int64_t hold_us;
 };
 
 struct eel_instance
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -14,7 +14,8 @@
  * domain until all of them are nearly full, then the least used of all.  An
  * endpoint that fails more of its runs than the soundest of its service gets
  * requests only when the sound ones of all domains are much busier, and is
- * tried again from time to time.  One that nobody has reported on counts as
+ * tried again from time to time.  The same holds for one that is several times
+ * slower.  One that nobody has reported on counts as
  * used like the others, so that it gets its first requests.
  */
 
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -47,11 +47,11 @@
   struct eel_relay_load load;
 
   if (text == NULL
-      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u",
+      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64,
                  &load.endpoint.use_milli, &load.wait_us,
                  &load.callee_pressure_milli, &load.revision,
-                 &load.endpoint.fault_milli)
-             != 5)
+                 &load.endpoint.fault_milli, &load.endpoint.hold_us)
+             != 6)
     return;
   eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -24,6 +24,8 @@
   uint8_t attempts_max;
   /* Attempts that reached an endpoint. */
   uint8_t arrivals;
+  /* The node beside an endpoint had no slot for it in time. */
+  uint8_t was_refused;
   /* An endpoint may have run it: no answer may state that none has. */
   uint8_t may_have_run;
   /* The present endpoint, and the last one that shed the request. */
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -20,9 +20,6 @@
 /* Reported when an endpoint sheds: it is full even if its node counts free
    slots. */
 #define SHED_PRESSURE_MILLI 2000.0
-/* Reported when no endpoint can be reached: requests of any rank that need this
-   route are bound to fail. */
-#define UNREACHABLE_PRESSURE_MILLI 10000.0
 /* Extends Retry-After in proportion to the refused share of the route, since a
    stronger overload is likely to last longer. */
 #define RETRY_AFTER_REFUSE_FACTOR 4.0
@@ -67,12 +64,16 @@
 }
 
 /* 503 and 429 state that the request was not run, so they are replaced by an
-   upstream failure when it may have been. */
+   upstream failure when it may have been.  That no endpoint is left is not the
+   cause when one had no slot. */
 static enum eel_error
 error_to_report (const struct eel_entry *entry, enum eel_error error)
 {
   uint16_t status = eel_error_info (error)->http_status;
 
+  if (error == EEL_ERROR_NO_ENDPOINT && entry->was_refused
+      && !entry->may_have_run)
+    return EEL_ERROR_OVERLOADED;
   if (entry->may_have_run && (status == 503 || status == 429))
     return EEL_ERROR_UPSTREAM_FAILED;
   return error;
@@ -115,9 +116,6 @@
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route));
   if (entry->tried_count > 0)
     report_outcome (entry, 1);
-  if (error == EEL_ERROR_NO_ENDPOINT)
-    eel_entry_gate_report_pressure (&relay->entry_gate, entry->call.route,
-                                    UNREACHABLE_PRESSURE_MILLI, now_us);
   relay->entry_failed_us = now_us;
   eel_entry_free (entry);
   eel_entry_refuse (exchange, reported, after_us);
@@ -317,6 +315,8 @@
       eel_entry_gate_report_pressure (&relay->entry_gate, entry->call.route,
                                       SHED_PRESSURE_MILLI, eel_clock_us ());
     }
+  if (failure == EEL_FAILURE_REFUSED)
+    entry->was_refused = 1;
   if (failure == EEL_FAILURE_BROKEN)
     entry->may_have_run = 1;
   if (failure != EEL_FAILURE_SHED && failure != EEL_FAILURE_BROKEN
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -55,10 +55,11 @@
 
   eel_relay_own_load (relay, route, &load);
   if (lines != NULL)
-    evbuffer_add_printf (lines, "%s: %u %" PRId64 " %u %" PRIu64 " %u\r\n",
+    evbuffer_add_printf (lines,
+                         "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64 "\r\n",
                          EEL_RELAY_LOAD, load.endpoint.use_milli, load.wait_us,
                          load.callee_pressure_milli, load.revision,
-                         load.endpoint.fault_milli);
+                         load.endpoint.fault_milli, load.endpoint.hold_us);
   if (lines != NULL)
     eel_crash_write (relay, lines);
   return lines;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -123,9 +123,20 @@
   const struct eel_relay_config *config = &relay->config;
 
   for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX; i++)
-    eel_retry_share_init (&relay->retries[i], config->retry_ratio,
-                          config->retry_extra, config->retry_window_us,
-                          eel_clock_us ());
+    eel_retry_share_init (&relay->retries[i], config->retry_ratio, 0,
+                          config->retry_window_us, eel_clock_us ());
+}
+
+/* Each endpoint has a node: they share the fixed retries of a window. */
+static void
+share_fixed_retries (struct eel_relay *relay)
+{
+  uint32_t nodes = 0;
+
+  for (uint32_t i = 0; i < relay->directory.count; i++)
+    nodes += (uint32_t)eel_instance_usable (&relay->directory.instances[i]);
+  for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX && nodes > 0; i++)
+    relay->retries[i].extra = relay->config.retry_extra / nodes;
 }
 
 /* Returns 0 when a listener can't be opened or memory runs out. */
@@ -228,6 +239,7 @@
 
   if (own != NULL && own->slots > 0)
     eel_gate_set_slots (&relay->gate, own->slots);
+  share_fixed_retries (relay);
   eel_relay_dispatch_queued (relay);
 }
 
@@ -305,6 +317,7 @@
   load->revision = relay->revision;
   load->endpoint.fault_milli
       = eel_fault_rate_milli (&relay->fault_rate, now_us);
+  load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
 }
 
 /* Records the greater of the pressure at the service (expected wait relative to
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -55,8 +55,10 @@
   struct sockaddr_in callers;
   struct sockaddr_in peers;
   struct sockaddr_in endpoint;
-  /* Retry budget: arrivals at endpoints beyond the first of each request, as a
-     share of requests, plus a fixed number in each window. */
+  /* Retry budget of all nodes together: arrivals at endpoints beyond the first
+     of each request, as a share of requests, plus a fixed number in each
+     window.
+   */
   double retry_ratio;
   double retry_extra;
   int64_t retry_window_us;
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -9,9 +9,11 @@
  * others where that is lower, so that one that has just joined is tried on a
  * quiet day too. */
 #define USE_UNKNOWN_MILLI 500
-/* Age above which a report of faults is ignored, which gets the endpoint a
- * request and so a new report.  Each sender does this, so it is rare. */
-#define FAULT_LIFE_US (6 * EEL_US_PER_S)
+/* Age above which a report of faults or slowness is ignored, which gets the
+ * endpoint a request and so a new report.  Each sender does this, so it is
+ * rare.
+ */
+#define FITNESS_LIFE_US (6 * EEL_US_PER_S)
 /* Fault rate, above the lowest of the service, from which on an endpoint of the
  * own domain is not preferred. */
 #define FAULT_SPILL_MILLI 150
@@ -22,6 +24,12 @@
 #define AVOID_MAX_US (2 * EEL_US_PER_S)
 /* A cold endpoint runs requests at about half its normal speed. */
 #define COLD_USE_PERCENT 200
+/* An endpoint whose requests hold their slots this many times longer than at
+ * the fastest of the service counts as slow, above a floor that is jitter. */
+#define SLOW_FACTOR 4
+#define SLOW_FLOOR_US (50 * EEL_US_PER_MS)
+/* Cost of being slow: that of a full endpoint. */
+#define SLOW_COST_MILLI 1000
 /* Random spread, so that senders that see the same reports do not all pick the
  * same endpoint. */
 #define NOISE_MILLI 200
@@ -65,6 +73,8 @@
   uint32_t assumed_use_milli;
   /* Lowest of the fresh reports. */
   uint32_t least_fault_milli;
+  /* Lowest of the fresh reports; 0: there is none. */
+  int64_t least_hold_us;
 };
 
 static int
@@ -75,6 +85,17 @@
   return instance->reported_us > 0 && now_us - instance->reported_us < life_us;
 }
 
+static void
+view_fitness (const struct eel_instance_report *report,
+              struct service_view *view)
+{
+  if (report->fault_milli < view->least_fault_milli)
+    view->least_fault_milli = report->fault_milli;
+  if (report->hold_us > 0
+      && (view->least_hold_us == 0 || report->hold_us < view->least_hold_us))
+    view->least_hold_us = report->hold_us;
+}
+
 static void
 view_service (const struct eel_directory *directory,
               uint16_t service,
@@ -85,6 +106,7 @@
   uint32_t reports = 0;
 
   view->least_fault_milli = UINT32_MAX;
+  view->least_hold_us = 0;
   for (uint32_t i = 0; i < directory->count; i++)
     {
       const struct eel_instance *instance = &directory->instances[i];
@@ -96,9 +118,8 @@
           use_milli += instance->report.use_milli;
           reports++;
         }
-      if (has_report (instance, FAULT_LIFE_US, now_us)
-          && instance->report.fault_milli < view->least_fault_milli)
-        view->least_fault_milli = instance->report.fault_milli;
+      if (has_report (instance, FITNESS_LIFE_US, now_us))
+        view_fitness (&instance->report, view);
     }
   view->assumed_use_milli = USE_UNKNOWN_MILLI;
   if (reports > 0 && use_milli / reports < USE_UNKNOWN_MILLI)
@@ -112,12 +133,22 @@
               const struct service_view *view,
               int64_t now_us)
 {
-  if (!has_report (instance, FAULT_LIFE_US, now_us)
+  if (!has_report (instance, FITNESS_LIFE_US, now_us)
       || instance->report.fault_milli <= view->least_fault_milli)
     return 0;
   return instance->report.fault_milli - view->least_fault_milli;
 }
 
+static int
+is_slow (const struct eel_instance *instance,
+         const struct service_view *view,
+         int64_t now_us)
+{
+  return has_report (instance, FITNESS_LIFE_US, now_us)
+         && instance->report.hold_us > SLOW_FLOOR_US
+         && instance->report.hold_us > SLOW_FACTOR * view->least_hold_us;
+}
+
 /* Returns the expected use of an endpoint's slots in thousandths. */
 static uint32_t
 expected_use (const struct eel_instance *instance,
@@ -146,17 +177,18 @@
 {
   uint64_t use = expected_use (instance, view, now_us);
   uint32_t fault_milli = excess_fault (instance, view, now_us);
+  int slow = is_slow (instance, view, now_us);
   uint64_t noise;
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
-      && fault_milli < FAULT_SPILL_MILLI)
+      && fault_milli < FAULT_SPILL_MILLI && !slow)
     return use + eel_rng_below (rng, NOISE_MILLI);
   noise = eel_rng_below (rng, NOISE_MILLI + (uint32_t)use * SPREAD_FACTOR);
   return 1000 + use + noise + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
-         + FAULT_COST_FACTOR * fault_milli;
+         + FAULT_COST_FACTOR * fault_milli + (slow ? SLOW_COST_MILLI : 0);
 }
 
 /* Returns the usable endpoint of lowest cost that was not tried. */
