--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -22,17 +22,6 @@
   evbuffer_drain (input, bytes);
 }
 
-std::string
-field_of (const std::string &message, const std::string &name)
-{
-  size_t at = message.find ("\r\n" + name + ": ");
-
-  if (at == std::string::npos)
-    return "";
-  at += name.size () + 4;
-  return message.substr (at, message.find ("\r\n", at) - at);
-}
-
 // Returns the length of the first request in the text, 0 if it is incomplete.
 static size_t
 request_bytes (const std::string &in)
@@ -377,30 +366,3 @@
   bufferevent_free (conn->bev);
   return conn->in;
 }
-
-std::string
-request_text (const std::string &method,
-              const std::string &target,
-              const std::string &id,
-              const std::string &lines,
-              const std::string &body)
-{
-  std::string length
-      = body.empty ()
-            ? ""
-            : "Content-Length: " + std::to_string (body.size ()) + "\r\n";
-
-  return method + " " + target + " HTTP/1.1\r\nHost: shop.example\r\nReq-Id: "
-         + id + "\r\nLeft-Ms: 5000\r\n" + lines + length + "\r\n" + body;
-}
-
-std::string
-answer_text (const std::string &request,
-             const std::string &body,
-             const std::string &status,
-             const std::string &lines)
-{
-  return "HTTP/1.1 " + status + "\r\nReq-Id: " + field_of (request, "Req-Id")
-         + "\r\nProof: p\r\n" + lines + "Content-Length: "
-         + std::to_string (body.size ()) + "\r\n\r\n" + body;
-}
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -91,5 +91,7 @@
                          const std::string &status = "200 OK",
                          const std::string &lines = "");
 std::string field_of (const std::string &message, const std::string &name);
+std::string status_of (const std::string &answer);
+std::string body_of (const std::string &answer);
 
 #endif
--- a/tests/unit/test_relay_restart.cc
+++ b/tests/unit/test_relay_restart.cc
@@ -2,12 +2,6 @@
 
 #include <gtest/gtest.h>
 
-static std::string
-status_of (const std::string &answer)
-{
-  return answer.size () > 12 ? answer.substr (9, 3) : answer;
-}
-
 // Guards against refusals while the entry of an endpoint that has restarted
 // under another id is still listed.
 TEST (Relay, RequestForAnEarlierEndpointGoesToItsSuccessor)
