Ignore loads that no node can have

Cause: the load in a peer's answer was taken as it came, also values from which sums overflow. Change: values out of bounds are ignored with a line; two more planted faults for the soak.

--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -12,11 +12,11 @@
  * Made for loads in which the own failure domain mostly has room and traffic
  * to other domains is expensive: picks the least used endpoint of the own
  * domain until all of them are nearly full, then the least used of all.  An
- * endpoint that fails more of its runs than the soundest of its service gets
- * requests only when the sound ones of all domains are much busier, and is
- * tried again from time to time.  The same holds for one that is several times
- * slower.  One that nobody has reported on counts as
- * used like the others, so that it gets its first requests.
+ * endpoint that fails more of its runs than the soundest of its service, or is
+ * several times slower than the fastest, gets requests only when the others of
+ * all domains are much busier, and is tried again from time to time.  One that
+ * nobody has reported on counts as used like the others, so that it gets its
+ * first requests.
  */
 
 /* Use of the limit, in thousandths, above which requests leave the domain. */
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -16,6 +16,9 @@
 /* A node accepts within milliseconds; a lost packet is retransmitted after
    200 ms, and CPU throttling can stop a process for up to 100 ms. */
 #define ACCEPT_TIMEOUT_US (350 * EEL_US_PER_MS)
+/* Bounds of what a node may report of its endpoint. */
+#define USE_MAX_MILLI 1000000
+#define LOAD_TIME_MAX_US (3600 * EEL_US_PER_S)
 
 static void
 release_instance (struct eel_attempt *attempt)
@@ -39,20 +42,38 @@
   attempt->ops->fail (attempt->owner, failure, reason);
 }
 
-/* Parses the load that the endpoint's node reports. */
+/* Returns 0 when the text is malformed or no node could report such a load. */
+static int
+parse_load (const char *text, struct eel_relay_load *load)
+{
+  struct eel_instance_report *endpoint = &load->endpoint;
+
+  return sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64,
+                 &endpoint->use_milli, &load->wait_us,
+                 &load->callee_pressure_milli, &load->revision,
+                 &endpoint->fault_milli, &endpoint->hold_us)
+             == 6
+         && endpoint->use_milli <= USE_MAX_MILLI
+         && endpoint->fault_milli <= 1000 && endpoint->hold_us >= 0
+         && endpoint->hold_us <= LOAD_TIME_MAX_US && load->wait_us >= 0
+         && load->wait_us <= LOAD_TIME_MAX_US;
+}
+
+/* Records the load that the endpoint's node reports. */
 static void
 record_load (struct eel_attempt *attempt, const struct eel_head *head)
 {
   const char *text = eel_head_get (head, EEL_RELAY_LOAD);
   struct eel_relay_load load;
 
-  if (text == NULL
-      || sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64,
-                 &load.endpoint.use_milli, &load.wait_us,
-                 &load.callee_pressure_milli, &load.revision,
-                 &load.endpoint.fault_milli, &load.endpoint.hold_us)
-             != 6)
+  if (text == NULL)
     return;
+  if (!parse_load (text, &load))
+    {
+      g_message ("event=load_field_invalid instance=%s",
+                 attempt->call.instance_id);
+      return;
+    }
   eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
--- a/tests/unit/test_relay_answers.cc
+++ b/tests/unit/test_relay_answers.cc
@@ -51,6 +51,43 @@
     }
 }
 
+// Guards against loads that no node can have, from which sums would overflow.
+TEST (RelayAnswers, MalformedLoadOfAPeerIsIgnored)
+{
+  for (const char *load :
+       { "", "1 2 3", "100 0 0 7 0", "x 0 0 7 0 0", "4000000000 0 0 7 0 0",
+         "100 -1 0 7 0 0", "100 0 0 7 1001 0", "100 0 0 7 0 -1",
+         "100 0 0 7 0 9223372036854775807", "100 9223372036854775807 0 7 0 0" })
+    {
+      relay_cluster cluster (1);
+      raw_upstream peer;
+      struct eel_relay *relay = &cluster.nodes[0]->relay;
+      struct eel_instance instance = entry_of_peer (relay);
+      auto caller = cluster.connect ();
+
+      peer.open (cluster.base, "127.0.0.2",
+                 ntohs (relay->config.peers.sin_port));
+      peer.answer = [load] (raw_upstream &, raw_conn &conn,
+                            const std::string &request) {
+        raw_upstream::write (
+            conn, answer_text (request, "right", "200 OK",
+                               std::string ("Eel-Load: ") + load + "\r\n"));
+      };
+      cluster.set_routes ();
+      eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+      raw_upstream::write (*caller, request_text ("GET", "/safe/a", "r1"));
+      ASSERT_TRUE (cluster.run_until ([&] { return !peer.conns.empty (); }));
+      raw_upstream::write (*peer.conns[0], "HTTP/1.1 100 Continue\r\n\r\n");
+      EXPECT_TRUE (cluster.run_until ([&] {
+        return caller->in.find ("right") != std::string::npos;
+      })) << load;
+      EXPECT_EQ (eel_directory_find (&relay->directory, "up-2")->reported_us, 0)
+          << load;
+      EXPECT_EQ (relay->peer_revision, 0u) << load;
+      bufferevent_free (caller->bev);
+    }
+}
+
 // The same between nodes: a peer sends an answer of another request before the
 // one that is waited for.
 TEST (RelayAnswers, AnswerOfAnotherRequestFromAPeerIsDiscarded)
--- a/tools/soak_faults.sh
+++ b/tools/soak_faults.sh
@@ -47,5 +47,9 @@
 	's/          || table->version > platform->relay.routes->version;/          || 1;/'
 try "kept connection dropped at SIGTERM" platform/main.c \
 	's/  eel_relay_stop (&program->platform.relay);/  event_base_loopbreak (program->platform.base);/'
+try "request that a node has accepted is offered to another" src/relay/attempt_remote.c \
+	's/^  event_del (attempt->accept_timer);$//'
+try "connections closed at a planned stop while a request is open" src/relay/server.c \
+	's/      if (!is_busy (conn, now_us) \&\& !conn->lingering)/      if (!conn->lingering)/'
 echo "$found found, $missed missed"
 [ $missed -eq 0 ]
