--- a/tests/unit/test_relay_crash.cc
+++ b/tests/unit/test_relay_crash.cc
@@ -21,6 +21,25 @@
       raw_upstream::end (*conn, true);
 }
 
+// Lists the upstreams of all nodes but the first.  Each crashes when it gets a
+// request that contains the text.
+void
+list_fragile_upstreams (relay_cluster &cluster, const std::string &fatal)
+{
+  for (size_t node = 1; node < cluster.nodes.size (); node++)
+    {
+      cluster.list_upstream (node);
+      cluster.nodes[node]->upstream.answer
+          = [fatal] (raw_upstream &upstream, raw_conn &conn,
+                     const std::string &request) {
+              if (request.find (fatal) == std::string::npos)
+                raw_upstream::write (conn, answer_text (request, "ok"));
+              else
+                crash (upstream);
+            };
+    }
+}
+
 // A request whose body comes in chunks of one and then more bytes.
 std::string
 chunked_text (const std::string &method,
@@ -44,18 +63,7 @@
 {
   relay_cluster cluster (4);
 
-  for (size_t node = 1; node < 4; node++)
-    {
-      cluster.list_upstream (node);
-      cluster.nodes[node]->upstream.answer
-          = [] (raw_upstream &upstream, raw_conn &conn,
-                const std::string &request) {
-              if (request.find ("/once/bad") == std::string::npos)
-                raw_upstream::write (conn, answer_text (request, "ok"));
-              else
-                crash (upstream);
-            };
-    }
+  list_fragile_upstreams (cluster, "/once/bad");
   cluster.set_routes ();
   auto ran = [&cluster] {
     size_t count = 0;
@@ -98,18 +106,7 @@
     {
       relay_cluster cluster (4);
 
-      for (size_t node = 1; node < 4; node++)
-        {
-          cluster.list_upstream (node);
-          cluster.nodes[node]->upstream.answer
-              = [] (raw_upstream &upstream, raw_conn &conn,
-                    const std::string &request) {
-                  if (request.find ("oison") == std::string::npos)
-                    raw_upstream::write (conn, answer_text (request, "ok"));
-                  else
-                    crash (upstream);
-                };
-        }
+      list_fragile_upstreams (cluster, "oison");
       cluster.set_routes ();
       auto post = [&cluster, chunked] (const std::string &id,
                                        const std::string &body) {
