--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -191,9 +191,24 @@
 
 relay_cluster::relay_cluster (size_t count, const char *service)
 {
-  uint16_t peers = free_port ();
+  int tries = 0;
 
   signal (SIGPIPE, SIG_IGN);
+  // The port that all nodes share is free when it is chosen, but an upstream or
+  // another process may get it before they listen.
+  while (!start (count, service))
+    {
+      stop ();
+      if (++tries == 20)
+        abort ();
+    }
+}
+
+bool
+relay_cluster::start (size_t count, const char *service)
+{
+  uint16_t peers = free_port ();
+
   for (size_t i = 0; i < count; i++)
     {
       auto node = std::make_unique<relay_node> ();
@@ -216,15 +231,20 @@
       config.retry_extra = 4 * count;
       config.retry_window_us = 10 * EEL_US_PER_S;
       if (!eel_relay_init (&node->relay, base, &config, &node->metrics))
-        abort ();
+        {
+          nodes.push_back (std::move (node));
+          return false;
+        }
       getsockname (evconnlistener_get_fd (node->relay.callers.listener),
                    reinterpret_cast<struct sockaddr *> (&config.callers), &len);
       node->callers_port = ntohs (config.callers.sin_port);
       nodes.push_back (std::move (node));
     }
+  return true;
 }
 
-relay_cluster::~relay_cluster ()
+void
+relay_cluster::stop ()
 {
   for (auto &node : nodes)
     {
@@ -232,6 +252,11 @@
       eel_metrics_finish (&node->metrics);
     }
   nodes.clear ();
+}
+
+relay_cluster::~relay_cluster ()
+{
+  stop ();
   event_base_free (base);
 }
 
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -63,6 +63,9 @@
 
   explicit relay_cluster (size_t count, const char *service = "shop");
   ~relay_cluster ();
+  // Starts the nodes; false when another socket has taken a port.
+  bool start (size_t count, const char *service);
+  void stop ();
   // Puts the upstream of a node into every directory, as "up-N".
   void list_upstream (size_t node, uint32_t slots = 10, bool ready = true);
   // Puts an endpoint at a node's upstream into the directory of one node only.
