--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -99,8 +99,10 @@
 /* Removes entries that lapsed while it was unknown whether the registry is
    stable, if it has been so for the grace period.  Returns their number. */
 uint32_t eel_directory_settle (struct eel_directory *directory, int64_t now_us);
-/* Removes lapsed entries after their grace period. */
-void eel_directory_tick (struct eel_directory *directory, int64_t now_us);
+/* Removes a lapsed entry whose grace period is over and returns it; NULL when
+   there is none left. */
+struct eel_instance *
+eel_directory_next_expired (struct eel_directory *directory, int64_t now_us);
 struct eel_instance *eel_directory_find (struct eel_directory *directory,
                                          const char *id);
 /* Endpoint of a service at an address, for the node on the same VM, or NULL. */
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -1,5 +1,6 @@
 #include "eelgrasslatch/directory.h"
 
+#include <stddef.h>
 #include <string.h>
 
 /* Prepares an empty directory over the caller's array. */
@@ -174,11 +175,11 @@
 }
 
 /* The grace period starts with the lapse, or with the registry's recovery. */
-void
-eel_directory_tick (struct eel_directory *directory, int64_t now_us)
+struct eel_instance *
+eel_directory_next_expired (struct eel_directory *directory, int64_t now_us)
 {
   if (!directory->stable)
-    return;
+    return NULL;
   for (uint32_t i = 0; i < directory->count; i++)
     {
       struct eel_instance *instance = &directory->instances[i];
@@ -188,6 +189,10 @@
 
       if (instance->state == EEL_INSTANCE_LAPSED
           && now_us - since_us >= EEL_LAPSED_GRACE_US)
-        instance->state = EEL_INSTANCE_REMOVED;
+        {
+          instance->state = EEL_INSTANCE_REMOVED;
+          return instance;
+        }
     }
+  return NULL;
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -1,6 +1,7 @@
 #include "relay/relay.h"
 
 #include <event2/event.h>
+#include <inttypes.h>
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
@@ -23,6 +24,8 @@
 /* Long enough for callers to stop sending a request that crashes endpoints,
    short enough not to block it for long after the service is fixed. */
 #define QUARANTINE_LIFE_US (60 * EEL_US_PER_S)
+/* Log lines for the lapsed entries that expire together. */
+#define EXPIRED_LINES_MAX 8
 /* TCP user time-out for connections to peers on other VMs. */
 #define PEER_TIMEOUT_MS 1500
 
@@ -61,6 +64,22 @@
   relay->load_logged_started = gate->started;
 }
 
+static void
+remove_expired (struct eel_relay *relay, int64_t now_us)
+{
+  const struct eel_instance *instance;
+  uint32_t count = 0;
+
+  while ((instance = eel_directory_next_expired (&relay->directory, now_us))
+         != NULL)
+    if (++count <= EXPIRED_LINES_MAX)
+      g_message ("event=endpoint_expired id=%s service=%s lapsed_ms=%" PRId64,
+                 instance->id, relay->names.names[instance->service],
+                 (now_us - instance->lapsed_us) / EEL_US_PER_MS);
+  if (count > EXPIRED_LINES_MAX)
+    g_message ("event=endpoints_expired count=%u", count);
+}
+
 /* Interrupted runs are the fault of an endpoint that still accepts connections;
    otherwise it has crashed. */
 static void
@@ -84,7 +103,7 @@
 
   (void)fd;
   (void)what;
-  eel_directory_tick (&relay->directory, now_us);
+  remove_expired (relay, now_us);
   eel_call_costs_tick (&relay->call_costs, now_us);
   eel_reach_tick (&relay->endpoint_reach, now_us);
   eel_server_sweep (&relay->callers, now_us);
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -88,7 +88,11 @@
   eel_directory_remove (&directory, "b", 4, 5 * EEL_US_PER_S);
   EXPECT_TRUE (eel_instance_usable (eel_directory_find (&directory, "a")));
   put (entry ("b", 5), 6 * EEL_US_PER_S);
-  eel_directory_tick (&directory, 5 * EEL_US_PER_S + EEL_LAPSED_GRACE_US);
+  const int64_t end_us = 5 * EEL_US_PER_S + EEL_LAPSED_GRACE_US;
+  EXPECT_EQ (eel_directory_next_expired (&directory, end_us - 1), nullptr);
+  EXPECT_EQ (eel_directory_next_expired (&directory, end_us),
+             eel_directory_find (&directory, "a"));
+  EXPECT_EQ (eel_directory_next_expired (&directory, end_us), nullptr);
   EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_REMOVED);
   EXPECT_EQ (eel_directory_find (&directory, "b")->state, EEL_INSTANCE_READY);
 }
