Take the view of the registry out of the platform's reader

Cause: whether an entry that goes missing was withdrawn or has lapsed is decided by three files that also own sockets, so that no test plays a node whose source, path and store change together. The times of reads and checks are named in the headers, and the fuzz of sources uses them. No behaviour is changed.

--- a/include/eelgrasslatch/read_source.h
+++ b/include/eelgrasslatch/read_source.h
@@ -16,6 +16,21 @@
  * order, nodes can't read from each other in a circle.
  */
 
+/* A node that reads the registry tells its whole failure domain, which has to
+   know a change within 2 s: a lost long poll has to be noticed and repeated by
+   another node before. */
+#define EEL_READ_REGISTRY_WAIT_MS 1000
+#define EEL_READ_PEER_WAIT_MS 800
+/* The first long poll of a connection is short, to check the network path. */
+#define EEL_READ_FIRST_WAIT_MS 200
+/* Time for an answer beyond the wait of a long poll.  A slow registry takes
+   some hundred milliseconds. */
+#define EEL_READ_MARGIN_MS 400
+/* Pause before the next long poll, in which changes collect: each call to the
+   registry has a cost. */
+#define EEL_READ_REGISTRY_BATCH_MS 300
+#define EEL_READ_PEER_BATCH_MS 20
+
 /* Nodes that read from one other. */
 #define EEL_READ_SOURCE_FANOUT 16
 
--- /dev/null
+++ b/include/eelgrasslatch/registry_view.h
@@ -0,0 +1,84 @@
+#ifndef EELGRASSLATCH_REGISTRY_VIEW_H
+#define EELGRASSLATCH_REGISTRY_VIEW_H
+
+#include <stdint.h>
+
+#include "eelgrasslatch/directory.h"
+
+/*
+ * What one node knows of the registry behind its directory: whether it is being
+ * read, when it was away last, and whether this VM reaches it.  From that the
+ * directory decides whether an entry that goes missing was withdrawn, or has
+ * lapsed while its endpoint is alive.
+ *
+ * An endpoint that is cut off from the registry loses its entry.  Nodes that
+ * reach the registry must not use it any more; a node that is cut off too may
+ * reach no other one.  A node that reads from a peer does not know which it is,
+ * so it asks the registry for one item when it is told of a removal.
+ */
+
+/* A check that is not answered within this time has failed; a slow registry is
+   reached too. */
+#define EEL_PATH_CHECK_TIMEOUT_MS 1500
+/* Pause before a failed check is repeated. */
+#define EEL_PATH_CHECK_RETRY_MS 1000
+
+struct eel_registry_view
+{
+  struct eel_directory *directory;
+  /* Last read, from any source, that brought news or told that there are none;
+     0: none yet. */
+  int64_t news_us;
+  /* First failed read of the registry in a row; 0: the last one succeeded. */
+  int64_t failing_since_us;
+  /* Since when the registry has been without an outage, by the source. */
+  int64_t stable_since_us;
+
+  /* The path of this VM: last answer of the registry to this node. */
+  int64_t confirmed_us;
+  /* What the source told when the check in flight was asked for. */
+  int64_t check_stable_since_us;
+  uint8_t check_pending;
+  uint8_t path_lost;
+};
+
+void eel_registry_view_init (struct eel_registry_view *view,
+                             struct eel_directory *directory);
+/* A read of the registry failed that was sent at sent_us; unanswered: it may
+   have been lost when it was sent.  Returns 1 for the first one in a row. */
+int eel_registry_view_read_failed (struct eel_registry_view *view,
+                                   int64_t sent_us,
+                                   int unanswered,
+                                   int64_t now_us);
+/* The registry answered a read.  Call both before its items are applied. */
+void eel_registry_view_read_registry (struct eel_registry_view *view,
+                                      int64_t now_us);
+/* A peer answered a read; stable_us: for how long the registry has been without
+   an outage, as far as it knows. */
+void eel_registry_view_read_peer (struct eel_registry_view *view,
+                                  int64_t stable_us,
+                                  int64_t now_us);
+/* Call it when the items of a peer have been applied; removals: some of them
+   made entries lapse.  Returns 1 when the registry has to be asked whether it
+   is reached: the check is then pending. */
+int eel_registry_view_applied (struct eel_registry_view *view,
+                               int removals,
+                               int64_t now_us);
+/* Begins a check; 0 when one is pending. */
+int eel_registry_view_begin_check (struct eel_registry_view *view);
+/* The registry answered a check.  Returns the number of entries that were
+   removed for it. */
+uint32_t eel_registry_view_check_answered (struct eel_registry_view *view,
+                                           int64_t now_us);
+/* No answer to a check came; it has to be repeated.  Returns 1 when the path
+   was not known to be lost. */
+int eel_registry_view_check_failed (struct eel_registry_view *view,
+                                    int64_t now_us);
+/* Call it several times a second. */
+void eel_registry_view_tick (struct eel_registry_view *view, int64_t now_us);
+/* True when reads of the registry have failed for longer than a time. */
+int eel_registry_view_is_failing (const struct eel_registry_view *view,
+                                  int64_t for_us,
+                                  int64_t now_us);
+
+#endif
--- a/tests/fuzz/fuzz_read_source.c
+++ b/tests/fuzz/fuzz_read_source.c
@@ -18,11 +18,11 @@
 
 #define NODES_MAX 40
 #define STEP_US (10 * EEL_US_PER_MS)
-#define REGISTRY_WAIT_US (1000 * EEL_US_PER_MS)
-#define PEER_WAIT_US (800 * EEL_US_PER_MS)
-#define FIRST_WAIT_US (200 * EEL_US_PER_MS)
-#define MARGIN_US (400 * EEL_US_PER_MS)
-#define BATCH_US (300 * EEL_US_PER_MS)
+#define REGISTRY_WAIT_US (EEL_READ_REGISTRY_WAIT_MS * EEL_US_PER_MS)
+#define PEER_WAIT_US (EEL_READ_PEER_WAIT_MS * EEL_US_PER_MS)
+#define FIRST_WAIT_US (EEL_READ_FIRST_WAIT_MS * EEL_US_PER_MS)
+#define MARGIN_US (EEL_READ_MARGIN_MS * EEL_US_PER_MS)
+#define BATCH_US (EEL_READ_REGISTRY_BATCH_MS * EEL_US_PER_MS)
 /* A configuration has to be in force within this time. */
 #define CHANGE_BOUND_US (2 * EEL_US_PER_S)
 /* After many faults at once a round passes before bounds hold. */
