Take an entry that is withdrawn after an outage for withdrawn

Cause: its failure domain had been cut off for 6 s. Its entry expired, was registered again 0.3 s before it was withdrawn, and the domain's nodes took the withdrawal for one more lapse: any entry that goes missing within 1.8 s of the store's return was kept for 1.8 s from the moment the node learned of it. 0.29 s to the node, 1.8 s of grace and up to 0.1 s of tick are more than the bound. Evidence: the four nodes of the domain log lapsed at 26.80 s, all others removed at 26.57 s; the last arrivals fit 26.80 + 1.8 s. Change: the grace ends 1.8 s after the outage, whenever the removal comes, and an entry that was registered after the outage is removed at once. The node needs no more time: a live endpoint is back within 2 s of the store's return, and one that is back has shown that it reaches the store.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -7,8 +7,10 @@
 
 /*
  * Endpoints that a registry lists.  The greater revision of an id always wins,
- * whatever its source.  An entry that an unstable registry drops stays usable
- * for a grace period, since a live endpoint registers again.
+ * whatever its source.  An entry that the registry drops during an outage, or
+ * in the grace period after it, stays usable until the end of that period,
+ * since a live endpoint registers again.  One that has registered again and is
+ * dropped then was withdrawn.
  */
 
 #define EEL_INSTANCE_ID_MAX 80
@@ -48,9 +50,9 @@
   uint32_t slots;
   uint8_t same_domain;
   int64_t cold_until_us;
-  int64_t added_us;
+  /* When this node learned of the newest registration, and of its loss. */
+  int64_t registered_us;
   int64_t lapsed_us;
-  uint8_t listed;
 
   /* This sender's own state, maintained by the place module. */
   uint32_t in_flight;
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -87,7 +87,7 @@
       if (known == NULL)
         return 0;
       *known = *instance;
-      known->added_us = now_us;
+      known->registered_us = now_us;
       known->in_flight = 0;
       known->unaccepted = 0;
       return 1;
@@ -100,18 +100,22 @@
   known->slots = instance->slots;
   known->same_domain = instance->same_domain;
   known->cold_until_us = instance->cold_until_us;
+  known->registered_us = now_us;
   return 1;
 }
 
-/* True while entries may be missing although their endpoints are alive. */
+/* True while the entry may be missing although its endpoint is alive. */
 static int
-may_lapse (const struct eel_directory *directory, int64_t now_us)
+may_lapse (const struct eel_directory *directory,
+           const struct eel_instance *instance,
+           int64_t now_us)
 {
   return !directory->stable
-         || now_us - directory->stable_since_us < EEL_LAPSED_GRACE_US;
+         || (now_us - directory->stable_since_us < EEL_LAPSED_GRACE_US
+             && instance->registered_us <= directory->stable_since_us);
 }
 
-/* Removes an entry; while the registry is unstable a ready one lapses. */
+/* Removes an entry; a ready one lapses if its endpoint may be alive. */
 int
 eel_directory_remove (struct eel_directory *directory,
                       const char *id,
@@ -124,7 +128,8 @@
       || known->state == EEL_INSTANCE_REMOVED)
     return 0;
   known->revision = revision;
-  if (known->state == EEL_INSTANCE_READY && may_lapse (directory, now_us))
+  if (known->state == EEL_INSTANCE_READY
+      && may_lapse (directory, known, now_us))
     {
       known->state = EEL_INSTANCE_LAPSED;
       known->lapsed_us = now_us;
@@ -163,32 +168,20 @@
 {
   uint32_t removed = 0;
 
-  if (may_lapse (directory, now_us))
-    return 0;
-  for (uint32_t i = 0; i < directory->count; i++)
-    if (directory->instances[i].state == EEL_INSTANCE_LAPSED)
-      {
-        directory->instances[i].state = EEL_INSTANCE_REMOVED;
-        removed++;
-      }
+  while (eel_directory_next_expired (directory, now_us) != NULL)
+    removed++;
   return removed;
 }
 
-/* The grace period starts with the lapse, or with the registry's recovery. */
 struct eel_instance *
 eel_directory_next_expired (struct eel_directory *directory, int64_t now_us)
 {
-  if (!directory->stable)
-    return NULL;
   for (uint32_t i = 0; i < directory->count; i++)
     {
       struct eel_instance *instance = &directory->instances[i];
-      int64_t since_us = instance->lapsed_us > directory->stable_since_us
-                             ? instance->lapsed_us
-                             : directory->stable_since_us;
 
       if (instance->state == EEL_INSTANCE_LAPSED
-          && now_us - since_us >= EEL_LAPSED_GRACE_US)
+          && !may_lapse (directory, instance, now_us))
         {
           instance->state = EEL_INSTANCE_REMOVED;
           return instance;
