Tell a reader that starts apart from an outage of the registry

Cause: the node that read the store for its domain had started 0.7 s before. It took its first read for the end of an outage and told its peers so, and these kept what was withdrawn in the 1.8 s after it. A node that had not confirmed its own path for 5 s counted as in an outage as well, so that each change of reader made a false one. Evidence: all five nodes of the domain log state=lapsed with store_stable=1 stable_ms=744, 0.745 s after the reader's start; the other domains have other values. One logs store_path_confirmed endpoints_removed=0 8 ms later: the false outage was confirmed, not settled. Change: a node without a failed read has seen no outage. A peer's word on an outage counts only after 3 s without news, since a shorter one makes no entry lapse. An unconfirmed path is a state of its own: it keeps entries until the check is answered and sets no grace. The end of an outage counts from the last failed call, at most 1 s before it is noticed, and a failed check is repeated after 0.4 s, so that the grace is over 2.8 s after the real return, before the node is in touch again (3 s). Checks are no longer sent every 5 s for ever once an entry has lapsed.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -18,6 +18,9 @@
    end, which is noticed a little later. */
 #define EEL_LAPSED_GRACE_US (1800 * EEL_US_PER_MS)
 
+/* Time of an outage when none is known. */
+#define EEL_NO_OUTAGE_US (INT64_MIN / 4)
+
 enum eel_instance_state
 {
   EEL_INSTANCE_READY,
@@ -73,9 +76,12 @@
   struct eel_instance *instances;
   uint32_t capacity;
   uint32_t count;
-  /* Whether the registry answers, and since when. */
+  /* Whether the registry answers, and the end of its last known outage. */
   uint8_t stable;
   int64_t stable_since_us;
+  /* Removals are not final yet: whoever told them may be nearer to the registry
+     than this node. */
+  uint8_t unconfirmed;
   uint64_t dropped_full;
 };
 
@@ -91,16 +97,15 @@
                           const char *id,
                           uint64_t revision,
                           int64_t now_us);
-/* Records whether the registry answers; while it does not, it is unstable. */
-void eel_directory_set_stable (struct eel_directory *directory,
-                               int stable,
-                               int64_t now_us);
-/* Records that the registry answers, and since when at the earliest. */
+/* Begins an outage of the registry. */
+void eel_directory_set_unstable (struct eel_directory *directory);
+/* Ends an outage, or records an earlier one that ended at that time. */
 void eel_directory_set_stable_since (struct eel_directory *directory,
                                      int64_t since_us);
-/* Removes entries that lapsed while it was unknown whether the registry is
-   stable, if it has been so for the grace period.  Returns their number. */
-uint32_t eel_directory_settle (struct eel_directory *directory, int64_t now_us);
+/* While removals are not confirmed, entries that are removed lapse. */
+void eel_directory_set_confirmed (struct eel_directory *directory,
+                                  int confirmed);
+int eel_directory_has_lapsed (const struct eel_directory *directory);
 /* Removes a lapsed entry whose grace period is over and returns it; NULL when
    there is none left. */
 struct eel_instance *
--- a/include/eelgrasslatch/registry_view.h
+++ b/include/eelgrasslatch/registry_view.h
@@ -15,13 +15,17 @@
  * reach the registry must not use it any more; a node that is cut off too may
  * reach no other one.  A node that reads from a peer does not know which it is,
  * so it asks the registry for one item when it is told of a removal.
+ *
+ * A peer's word on an outage counts only where this node had no news for as
+ * long as entries need to lapse: a peer that has just started, or was cut off
+ * alone, knows of outages that were none.
  */
 
 /* A check that is not answered within this time has failed; a slow registry is
    reached too. */
-#define EEL_PATH_CHECK_TIMEOUT_MS 1500
+#define EEL_PATH_CHECK_TIMEOUT_MS 1000
 /* Pause before a failed check is repeated. */
-#define EEL_PATH_CHECK_RETRY_MS 1000
+#define EEL_PATH_CHECK_RETRY_MS 400
 
 struct eel_registry_view
 {
@@ -31,13 +35,13 @@
   int64_t news_us;
   /* First failed read of the registry in a row; 0: the last one succeeded. */
   int64_t failing_since_us;
-  /* Since when the registry has been without an outage, by the source. */
+  /* When the registry was last known not to be reached; 0: never. */
+  int64_t unreached_us;
+  /* End of the registry's last outage, without those that only this VM saw. */
   int64_t stable_since_us;
 
   /* The path of this VM: last answer of the registry to this node. */
   int64_t confirmed_us;
-  /* What the source told when the check in flight was asked for. */
-  int64_t check_stable_since_us;
   uint8_t check_pending;
   uint8_t path_lost;
 };
@@ -58,21 +62,19 @@
 void eel_registry_view_read_peer (struct eel_registry_view *view,
                                   int64_t stable_us,
                                   int64_t now_us);
-/* Call it when the items of a peer have been applied; removals: some of them
-   made entries lapse.  Returns 1 when the registry has to be asked whether it
-   is reached: the check is then pending. */
-int eel_registry_view_applied (struct eel_registry_view *view,
-                               int removals,
-                               int64_t now_us);
+/* Call it when the items of a peer have been applied.  Returns 1 when the
+   registry has to be asked whether it is reached: the check is then pending. */
+int eel_registry_view_applied (struct eel_registry_view *view, int64_t now_us);
 /* Begins a check; 0 when one is pending. */
 int eel_registry_view_begin_check (struct eel_registry_view *view);
 /* The registry answered a check.  Returns the number of entries that were
    removed for it. */
 uint32_t eel_registry_view_check_answered (struct eel_registry_view *view,
                                            int64_t now_us);
-/* No answer to a check came; it has to be repeated.  Returns 1 when the path
-   was not known to be lost. */
+/* No answer came to a check sent at that time; it has to be repeated.  Returns
+   1 when the path was not known to be lost. */
 int eel_registry_view_check_failed (struct eel_registry_view *view,
+                                    int64_t sent_us,
                                     int64_t now_us);
 /* Call it several times a second. */
 void eel_registry_view_tick (struct eel_registry_view *view, int64_t now_us);
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -9,8 +9,10 @@
                     struct eel_instance *instances,
                     uint32_t capacity)
 {
-  *directory
-      = (struct eel_directory){ .instances = instances, .capacity = capacity };
+  *directory = (struct eel_directory){ .instances = instances,
+                                       .capacity = capacity,
+                                       .stable = 1,
+                                       .stable_since_us = EEL_NO_OUTAGE_US };
 }
 
 /* Returns the entry of an id, also a removed one, or NULL. */
@@ -110,7 +112,7 @@
            const struct eel_instance *instance,
            int64_t now_us)
 {
-  return !directory->stable
+  return !directory->stable || directory->unconfirmed
          || (now_us - directory->stable_since_us < EEL_LAPSED_GRACE_US
              && instance->registered_us <= directory->stable_since_us);
 }
@@ -139,19 +141,13 @@
   return 1;
 }
 
-/* Starts the grace period when the registry answers again. */
 void
-eel_directory_set_stable (struct eel_directory *directory,
-                          int stable,
-                          int64_t now_us)
+eel_directory_set_unstable (struct eel_directory *directory)
 {
-  if (stable && !directory->stable)
-    directory->stable_since_us = now_us;
-  directory->stable = (uint8_t)(stable != 0);
+  directory->stable = 0;
 }
 
-/* For what a peer has learned from the registry: an outage that this node has
-   not noticed counts too. */
+/* An older outage does not end the grace period of a newer one. */
 void
 eel_directory_set_stable_since (struct eel_directory *directory,
                                 int64_t since_us)
@@ -161,16 +157,19 @@
   directory->stable = 1;
 }
 
-/* Does nothing within the grace period: then entries may be missing although
-   their endpoints are alive. */
-uint32_t
-eel_directory_settle (struct eel_directory *directory, int64_t now_us)
+void
+eel_directory_set_confirmed (struct eel_directory *directory, int confirmed)
 {
-  uint32_t removed = 0;
+  directory->unconfirmed = (uint8_t)!confirmed;
+}
 
-  while (eel_directory_next_expired (directory, now_us) != NULL)
-    removed++;
-  return removed;
+int
+eel_directory_has_lapsed (const struct eel_directory *directory)
+{
+  for (uint32_t i = 0; i < directory->count; i++)
+    if (directory->instances[i].state == EEL_INSTANCE_LAPSED)
+      return 1;
+  return 0;
 }
 
 struct eel_instance *
--- a/tests/fuzz/drain_node.c
+++ b/tests/fuzz/drain_node.c
@@ -66,7 +66,6 @@
 {
   struct eel_instance instance
       = { .revision = entry.revision, .ip = ip_of (key), .slots = 8 };
-  struct eel_instance *known;
   char id[EEL_INSTANCE_ID_MAX];
 
   if (node->items[key].revision >= entry.revision)
@@ -80,8 +79,6 @@
     eel_directory_remove (&node->directory, id, entry.revision, world->now_us);
   else
     eel_directory_put (&node->directory, &instance, world->now_us);
-  known = eel_directory_find (&node->directory, id);
-  node->lapsed += known != NULL && known->state == EEL_INSTANCE_LAPSED;
 }
 
 /* Applies a listing at a revision: what it lacks was removed. */
@@ -195,7 +192,7 @@
       if (peer->items[i].revision > node->after)
         apply (world, node, i, peer->items[i]);
   call_succeeded (world, node, peer->after);
-  if (eel_registry_view_applied (&node->view, node->lapsed > 0, world->now_us))
+  if (eel_registry_view_applied (&node->view, world->now_us))
     node->check_sent_us = world->now_us;
 }
 
@@ -237,7 +234,7 @@
   else if (world->now_us - node->check_sent_us
            >= EEL_PATH_CHECK_TIMEOUT_MS * EEL_US_PER_MS)
     {
-      eel_registry_view_check_failed (view, world->now_us);
+      eel_registry_view_check_failed (view, node->check_sent_us, world->now_us);
       node->check_again_us
           = world->now_us + EEL_PATH_CHECK_RETRY_MS * EEL_US_PER_MS;
     }
--- a/tests/fuzz/drain_world.h
+++ b/tests/fuzz/drain_world.h
@@ -84,8 +84,6 @@
   int64_t call_until_us;
   int64_t timeout_us;
   int64_t next_call_us;
-  /* Entries that lapsed since the node started. */
-  uint32_t lapsed;
   int64_t check_sent_us;
   int64_t check_again_us;
 
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -29,7 +29,6 @@
   {
     eel_directory_init (&directory, storage, 4);
     eel_rng_init (&rng, 1);
-    eel_directory_set_stable (&directory, 1, -10 * EEL_US_PER_S);
   }
 
   void
@@ -82,8 +81,8 @@
 {
   put (entry ("a", 1));
   put (entry ("b", 2));
-  eel_directory_set_stable (&directory, 0, 0);
-  eel_directory_set_stable (&directory, 1, 5 * EEL_US_PER_S);
+  eel_directory_set_unstable (&directory);
+  eel_directory_set_stable_since (&directory, 5 * EEL_US_PER_S);
   eel_directory_remove (&directory, "a", 3, 5 * EEL_US_PER_S);
   eel_directory_remove (&directory, "b", 4, 5 * EEL_US_PER_S);
   EXPECT_TRUE (eel_instance_usable (eel_directory_find (&directory, "a")));
@@ -102,8 +101,8 @@
 TEST_F (directory_test, EndpointThatRegistersAgainAndLeavesIsNotUsed)
 {
   put (entry ("a", 1));
-  eel_directory_set_stable (&directory, 0, 0);
-  eel_directory_set_stable (&directory, 1, 5000 * EEL_US_PER_MS);
+  eel_directory_set_unstable (&directory);
+  eel_directory_set_stable_since (&directory, 5000 * EEL_US_PER_MS);
   eel_directory_remove (&directory, "a", 3, 5000 * EEL_US_PER_MS);
   EXPECT_STREQ (pick (5000 * EEL_US_PER_MS), "a");
   put (entry ("a", 4), 5300 * EEL_US_PER_MS);
@@ -117,8 +116,8 @@
   const int64_t end_us = 5 * EEL_US_PER_S + EEL_LAPSED_GRACE_US;
 
   put (entry ("a", 1));
-  eel_directory_set_stable (&directory, 0, 0);
-  eel_directory_set_stable (&directory, 1, 5 * EEL_US_PER_S);
+  eel_directory_set_unstable (&directory);
+  eel_directory_set_stable_since (&directory, 5 * EEL_US_PER_S);
   eel_directory_remove (&directory, "a", 3, end_us - 1);
   EXPECT_STREQ (pick (end_us - 1), "a");
   EXPECT_NE (eel_directory_next_expired (&directory, end_us), nullptr);
@@ -132,12 +131,15 @@
   const int64_t now_us = 5 * EEL_US_PER_S;
 
   put (entry ("a", 1));
-  eel_directory_set_stable (&directory, 0, now_us);
+  eel_directory_set_confirmed (&directory, 0);
   eel_directory_remove (&directory, "a", 2, now_us);
   EXPECT_STREQ (pick (now_us), "a");
-  eel_directory_set_stable_since (&directory, -10 * EEL_US_PER_S);
-  EXPECT_EQ (eel_directory_settle (&directory, now_us), 1u);
+  EXPECT_EQ (eel_directory_next_expired (&directory, now_us), nullptr);
+  EXPECT_TRUE (eel_directory_has_lapsed (&directory));
+  eel_directory_set_confirmed (&directory, 1);
+  EXPECT_NE (eel_directory_next_expired (&directory, now_us), nullptr);
   EXPECT_EQ (pick (now_us), nullptr);
+  EXPECT_FALSE (eel_directory_has_lapsed (&directory));
 }
 
 // Guards against removals that are taken for final by a node that has not
@@ -149,11 +151,11 @@
   put (entry ("a", 1));
   eel_directory_set_stable_since (&directory, now_us - EEL_US_PER_S);
   eel_directory_remove (&directory, "a", 2, now_us);
-  EXPECT_EQ (eel_directory_settle (&directory, now_us), 0u);
+  EXPECT_EQ (eel_directory_next_expired (&directory, now_us), nullptr);
   EXPECT_STREQ (pick (now_us), "a");
   // An older time does not end the grace period.
   eel_directory_set_stable_since (&directory, -10 * EEL_US_PER_S);
-  EXPECT_EQ (eel_directory_settle (&directory, now_us), 0u);
+  EXPECT_EQ (eel_directory_next_expired (&directory, now_us), nullptr);
 }
 
 // Guards against an endpoint that drains and is used again when its entry
@@ -165,7 +167,7 @@
   put (entry ("a", 1));
   draining.state = EEL_INSTANCE_DRAINING;
   put (draining);
-  eel_directory_set_stable (&directory, 0, 0);
+  eel_directory_set_unstable (&directory);
   eel_directory_remove (&directory, "a", 3, 0);
   EXPECT_EQ (eel_directory_find (&directory, "a")->state, EEL_INSTANCE_REMOVED);
 }
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -41,7 +41,7 @@
     for (uint32_t i = 0; i < SENDERS; i++)
       {
         eel_directory_init (&directories[i], storage[i], 16);
-        eel_directory_set_stable (&directories[i], 1, 0);
+        eel_directory_set_stable_since (&directories[i], 0);
       }
   }
 
