Bound the time in which a domain notices that its readers are lost

What callers saw: nothing yet; found by fuzz_drain. Cause: the steps from the store's word to the last request were bounded one by one, not as a sum. A reader that loses the store alone is noticed after 1.4 s; each further node that takes its place and is lost too adds up to 0.6 s, the connection to the endpoint 0.4 s. Two lost readers in a row are 2.4 s (bound 2.0). Change: a long poll of the store lasts 0.7 s instead of 1.0, one of a peer 0.5 instead of 0.8 with 0.3 s of margin, the first one of a connection 0.1 instead of 0.2. When their source is lost the first four members read the store once, all at the same time, then one of them goes on. A connection that takes longer than 0.3 s (0.4) has failed. TheNextOneReadsWhenTheReaderFails expected two readers at the moment of the loss; it expects four then and two once each has read, which is what bounds the calls.

--- a/include/eelgrasslatch/read_source.h
+++ b/include/eelgrasslatch/read_source.h
@@ -19,13 +19,14 @@
 /* A node that reads the registry tells its whole failure domain, which has to
    know a change within 2 s: a lost long poll has to be noticed and repeated by
    another node before. */
-#define EEL_READ_REGISTRY_WAIT_MS 1000
-#define EEL_READ_PEER_WAIT_MS 800
+#define EEL_READ_REGISTRY_WAIT_MS 700
+#define EEL_READ_PEER_WAIT_MS 500
 /* The first long poll of a connection is short, to check the network path. */
-#define EEL_READ_FIRST_WAIT_MS 200
+#define EEL_READ_FIRST_WAIT_MS 100
 /* Time for an answer beyond the wait of a long poll.  A slow registry takes
-   some hundred milliseconds. */
-#define EEL_READ_MARGIN_MS 400
+   some hundred milliseconds; a process can be throttled for 100 ms. */
+#define EEL_READ_REGISTRY_MARGIN_MS 400
+#define EEL_READ_PEER_MARGIN_MS 300
 /* Pause before the next long poll, in which changes collect: each call to the
    registry has a cost. */
 #define EEL_READ_REGISTRY_BATCH_MS 300
@@ -63,6 +64,9 @@
   uint32_t own_index;
   uint32_t registry_failures;
   int64_t registry_avoid_until_us;
+  /* One of the first members that has read the registry in the place of its
+     source: from now on another one may do that for it. */
+  uint8_t has_replaced;
 };
 
 struct eel_read_choice
--- a/src/membership/read_source.c
+++ b/src/membership/read_source.c
@@ -116,7 +116,9 @@
 /*
  * Returns the sources of a node one after the other: its parent in the tree,
  * the parent's parent and so on, then the first members in the order.  Returns
- * NULL after the last one.
+ * NULL after the last one.  When the source of the first members is lost they
+ * all read the registry once, so that several lost ones in a row cost no more
+ * time than one.
  */
 static const struct eel_read_peer *
 nth_candidate (const struct eel_read_source *source, uint32_t n)
@@ -131,6 +133,8 @@
     }
   /* The last ancestor, if any, was the first member: fallbacks follow it. */
   n++;
+  if (source->own_index < FALLBACK_PEERS && !source->has_replaced)
+    return NULL;
   if (n < FALLBACK_PEERS && n < source->own_index)
     return &source->peers[n];
   return NULL;
@@ -171,9 +175,12 @@
     {
       source->registry_failures = 0;
       source->registry_avoid_until_us = 0;
+      source->has_replaced = 1;
     }
   else if (peer != NULL)
     {
+      if (peer == &source->peers[0])
+        source->has_replaced = 0;
       peer->failures = 0;
       peer->avoid_until_us = 0;
     }
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -18,7 +18,7 @@
 /* Time without stale connections after which learned_idle_max_us is doubled. */
 #define LEARNED_IDLE_HOLD_US (5 * EEL_US_PER_S)
 /* Connecting takes milliseconds; a lost SYN is retransmitted after 1 s. */
-#define CONNECT_TIMEOUT_US (400 * EEL_US_PER_MS)
+#define CONNECT_TIMEOUT_US (300 * EEL_US_PER_MS)
 
 void
 eel_pool_init (struct eel_pool *pool,
--- a/tests/fuzz/drain_node.c
+++ b/tests/fuzz/drain_node.c
@@ -215,7 +215,10 @@
                                   : EEL_READ_PEER_WAIT_MS;
   node->sent_us = world->now_us;
   node->call_until_us = world->now_us + wait_ms * EEL_US_PER_MS;
-  node->timeout_us = node->call_until_us + EEL_READ_MARGIN_MS * EEL_US_PER_MS;
+  node->timeout_us = node->call_until_us
+                     + (choice.peer == NULL ? EEL_READ_REGISTRY_MARGIN_MS
+                                            : EEL_READ_PEER_MARGIN_MS)
+                           * EEL_US_PER_MS;
 }
 
 static void
--- a/tests/fuzz/fuzz_drain.c
+++ b/tests/fuzz/fuzz_drain.c
@@ -25,7 +25,7 @@
 
 #define REQUESTS_MAX 512
 /* The node beside an endpoint waits this long for a connection. */
-#define CONNECT_MAX_US (400 * EEL_US_PER_MS)
+#define CONNECT_MAX_US (300 * EEL_US_PER_MS)
 #define HOP_US (10 * EEL_US_PER_MS)
 /* Longest wait in the queue of the node beside the endpoint. */
 #define QUEUE_MAX_US (3 * EEL_US_PER_S)
--- a/tests/fuzz/fuzz_read_source.c
+++ b/tests/fuzz/fuzz_read_source.c
@@ -21,7 +21,8 @@
 #define REGISTRY_WAIT_US (EEL_READ_REGISTRY_WAIT_MS * EEL_US_PER_MS)
 #define PEER_WAIT_US (EEL_READ_PEER_WAIT_MS * EEL_US_PER_MS)
 #define FIRST_WAIT_US (EEL_READ_FIRST_WAIT_MS * EEL_US_PER_MS)
-#define MARGIN_US (EEL_READ_MARGIN_MS * EEL_US_PER_MS)
+#define REGISTRY_MARGIN_US (EEL_READ_REGISTRY_MARGIN_MS * EEL_US_PER_MS)
+#define PEER_MARGIN_US (EEL_READ_PEER_MARGIN_MS * EEL_US_PER_MS)
 #define BATCH_US (EEL_READ_REGISTRY_BATCH_MS * EEL_US_PER_MS)
 /* A configuration has to be in force within this time. */
 #define CHANGE_BOUND_US (2 * EEL_US_PER_S)
@@ -160,7 +161,9 @@
     wait_us = FIRST_WAIT_US;
   node->calling = target;
   node->call_until_us = run->now_us + wait_us;
-  node->timeout_us = node->call_until_us + MARGIN_US;
+  node->timeout_us
+      = node->call_until_us
+        + (target == NODES_MAX ? REGISTRY_MARGIN_US : PEER_MARGIN_US);
   run->calls += target == NODES_MAX;
 }
 
--- a/tests/unit/test_read_source.cc
+++ b/tests/unit/test_read_source.cc
@@ -111,9 +111,15 @@
                                   EEL_READ_UNREACHABLE, 0, 0.5);
         next.insert (domain.source_of (i));
       }
-  // The others read from the second node, and that one from the registry.
-  EXPECT_EQ (domain.readers ().size (), 2u);
+  // The next three read the registry once, the others from the second node.
+  std::vector<uint32_t> readers = domain.readers ();
+  EXPECT_EQ (readers.size (), 4u);
   EXPECT_EQ (next.size (), 2u);
+  // Then only the second node goes on reading it.
+  for (uint32_t i : readers)
+    if (i != reader)
+      eel_read_source_succeeded (&domain.nodes[i].source, 0);
+  EXPECT_EQ (domain.readers ().size (), 2u);
 }
 
 // Guards against nodes that keep away from the reader after it is back.
