Send requests that wait for an endpoint elsewhere when it leaves

What callers saw: nothing yet; found while the steps from the store's word to the last request were summed up. Cause: the node beside an endpoint looks whether it is leaving when a request arrives, and not again when the request gets a slot. A request can wait for a slot until its time limit, so it reached the endpoint up to seconds after its end was known. Change: the endpoint is looked at again when the slot is granted, and when the directory changes all waiting requests of an endpoint that has left are refused at once. They have not run, so their entry nodes offer them to others.

--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -148,5 +148,8 @@
 /* The gate granted or refused a slot to a local attempt. */
 void eel_attempt_admitted (struct eel_attempt *attempt);
 void eel_attempt_refused (struct eel_attempt *attempt);
+/* Fails a queued local attempt whose endpoint must not get it any more and
+   returns 1; returns 0 for any other. */
+int eel_attempt_refuse_leaving (struct eel_attempt *attempt);
 
 #endif
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -182,52 +182,6 @@
         .fail = on_fail,
         .drained = eel_attempt_on_drained };
 
-/* Sends the request to the endpoint; the gate has counted its slot. */
-void
-eel_attempt_admitted (struct eel_attempt *attempt)
-{
-  struct evbuffer *head;
-  struct eel_relay *relay = attempt->relay;
-
-  attempt->queued = 0;
-  attempt->running = 1;
-  attempt->started_us = eel_clock_us ();
-  if (eel_attempt_remaining_ms (attempt, attempt->started_us) <= 0)
-    {
-      local_fail (attempt, EEL_FAILURE_REFUSED, "no time left");
-      return;
-    }
-  head = evbuffer_new ();
-  if (head != NULL)
-    {
-      eel_attempt_write_head (attempt, head, 0);
-      attempt->link = eel_pool_send (
-          &relay->endpoint_pool, &link_ops, attempt, head,
-          strcmp (attempt->call.request->method, "HEAD") == 0,
-          attempt->call.idempotent ? IDLE_MAX_IDEMPOTENT_US
-                                   : IDLE_MAX_NON_IDEMPOTENT_US);
-      evbuffer_free (head);
-    }
-  if (attempt->link == NULL)
-    {
-      local_fail (attempt, EEL_FAILURE_UNREACHABLE, "no socket");
-      return;
-    }
-  eel_metric_add (relay->counters.runs, 1);
-  eel_call_costs_count_run (&relay->call_costs, attempt->call.route);
-  eel_attempt_send_pending (attempt);
-}
-
-/* Reports that no slot becomes free in time; nothing was sent. */
-void
-eel_attempt_refused (struct eel_attempt *attempt)
-{
-  attempt->queued = 0;
-  attempt->answer_done = 1;
-  record_own_load (attempt);
-  attempt->ops->fail (attempt->owner, EEL_FAILURE_REFUSED, "no slot in time");
-}
-
 /*
  * Returns the endpoint that has taken the place of the expected one at this
  * node's address, or NULL.  An endpoint that has named itself at the address
@@ -280,6 +234,72 @@
   return NULL;
 }
 
+/* Sends the request to the endpoint; the gate has counted its slot. */
+void
+eel_attempt_admitted (struct eel_attempt *attempt)
+{
+  struct evbuffer *head;
+  struct eel_relay *relay = attempt->relay;
+  const char *refusal = direct_to_endpoint (attempt);
+
+  attempt->queued = 0;
+  attempt->running = 1;
+  attempt->started_us = eel_clock_us ();
+  if (refusal != NULL)
+    {
+      local_fail (attempt, EEL_FAILURE_LEAVING, refusal);
+      return;
+    }
+  if (eel_attempt_remaining_ms (attempt, attempt->started_us) <= 0)
+    {
+      local_fail (attempt, EEL_FAILURE_REFUSED, "no time left");
+      return;
+    }
+  head = evbuffer_new ();
+  if (head != NULL)
+    {
+      eel_attempt_write_head (attempt, head, 0);
+      attempt->link = eel_pool_send (
+          &relay->endpoint_pool, &link_ops, attempt, head,
+          strcmp (attempt->call.request->method, "HEAD") == 0,
+          attempt->call.idempotent ? IDLE_MAX_IDEMPOTENT_US
+                                   : IDLE_MAX_NON_IDEMPOTENT_US);
+      evbuffer_free (head);
+    }
+  if (attempt->link == NULL)
+    {
+      local_fail (attempt, EEL_FAILURE_UNREACHABLE, "no socket");
+      return;
+    }
+  eel_metric_add (relay->counters.runs, 1);
+  eel_call_costs_count_run (&relay->call_costs, attempt->call.route);
+  eel_attempt_send_pending (attempt);
+}
+
+/* Reports that no slot becomes free in time; nothing was sent. */
+void
+eel_attempt_refused (struct eel_attempt *attempt)
+{
+  attempt->queued = 0;
+  attempt->answer_done = 1;
+  record_own_load (attempt);
+  attempt->ops->fail (attempt->owner, EEL_FAILURE_REFUSED, "no slot in time");
+}
+
+int
+eel_attempt_refuse_leaving (struct eel_attempt *attempt)
+{
+  const char *refusal = direct_to_endpoint (attempt);
+
+  if (refusal == NULL)
+    return 0;
+  eel_gate_withdraw (&attempt->relay->gate, attempt);
+  attempt->queued = 0;
+  attempt->answer_done = 1;
+  attempt->ops->fail (attempt->owner, EEL_FAILURE_LEAVING, refusal);
+  return 1;
+}
+
 static void
 local_start (struct eel_attempt *attempt)
 {
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -78,6 +78,8 @@
                  (now_us - instance->lapsed_us) / EEL_US_PER_MS);
   if (count > EXPIRED_LINES_MAX)
     g_message ("event=endpoints_expired count=%u", count);
+  if (count > 0)
+    eel_relay_endpoints_changed (relay);
 }
 
 /* Interrupted runs are the fault of an endpoint that still accepts connections;
@@ -251,6 +253,20 @@
       &relay->directory, relay->config.ip.s_addr, relay->service);
 }
 
+/* Requests that wait for an endpoint that has left go elsewhere at once.  The
+   queue changes with each. */
+static void
+refuse_leaving (struct eel_relay *relay)
+{
+  uint32_t i = 0;
+
+  while (i < relay->gate.queued)
+    if (eel_attempt_refuse_leaving (relay->gate.queue[i].owner))
+      i = 0;
+    else
+      i++;
+}
+
 void
 eel_relay_endpoints_changed (struct eel_relay *relay)
 {
@@ -259,6 +275,7 @@
   if (own != NULL && own->slots > 0)
     eel_gate_set_slots (&relay->gate, own->slots);
   share_fixed_retries (relay);
+  refuse_leaving (relay);
   eel_relay_dispatch_queued (relay);
 }
 
