Let each node bound the age of its news by itself

What callers saw: nothing yet; found by fuzz_drain. Cause: a node took news for as new as the answer that told them. Change: an answer between nodes says how old its news are. A node whose news are 1.5 s old reads the store itself, and ends a call to a peer that would last longer. Held reads are answered with each renewal, so that news are 1.0 s old at most while nothing is lost, and a follower asks once a second instead of twice.

--- a/include/eelgrasslatch/read_source.h
+++ b/include/eelgrasslatch/read_source.h
@@ -20,7 +20,7 @@
    know a change within 2 s: a lost long poll has to be noticed and repeated by
    another node before. */
 #define EEL_READ_REGISTRY_WAIT_MS 700
-#define EEL_READ_PEER_WAIT_MS 500
+#define EEL_READ_PEER_WAIT_MS 1000
 /* The first long poll of a connection is short, to check the network path. */
 #define EEL_READ_FIRST_WAIT_MS 100
 /* Time for an answer beyond the wait of a long poll.  A slow registry takes
@@ -90,9 +90,10 @@
                                   const uint32_t *ips,
                                   uint32_t count,
                                   int own_listed);
-/* Returns the source to read next. */
-struct eel_read_choice
-eel_read_source_next (const struct eel_read_source *source, int64_t now_us);
+/* Returns the source to read next; stale: what the peers told last is too old,
+   so the registry goes before them. */
+struct eel_read_choice eel_read_source_next (
+    const struct eel_read_source *source, int stale, int64_t now_us);
 /* Records the end of a read; ip 0 stands for the registry.  unit_random is in
    [0, 1) and spreads the times at which nodes repeat failed reads. */
 void eel_read_source_succeeded (struct eel_read_source *source, uint32_t ip);
--- a/include/eelgrasslatch/registry_view.h
+++ b/include/eelgrasslatch/registry_view.h
@@ -21,6 +21,9 @@
  * alone, knows of outages that were none.
  */
 
+/* A node knows each change within this time and that of a read, whichever other
+   nodes are lost: it reads the registry when its sources know nothing newer. */
+#define EEL_NEWS_MAX_AGE_US (1500 * EEL_US_PER_MS)
 /* A check that is not answered within this time has failed; a slow registry is
    reached too. */
 #define EEL_PATH_CHECK_TIMEOUT_MS 1000
@@ -30,9 +33,9 @@
 struct eel_registry_view
 {
   struct eel_directory *directory;
-  /* Last read, from any source, that brought news or told that there are none;
-     0: none yet. */
-  int64_t news_us;
+  /* All changes up to this time are known: when the registry last answered this
+     node, or the node that told it; 0: there was no news yet. */
+  int64_t as_of_us;
   /* First failed read of the registry in a row; 0: the last one succeeded. */
   int64_t failing_since_us;
   /* When the registry was last known not to be reached; 0: never. */
@@ -57,11 +60,16 @@
 /* The registry answered a read.  Call both before its items are applied. */
 void eel_registry_view_read_registry (struct eel_registry_view *view,
                                       int64_t now_us);
-/* A peer answered a read; stable_us: for how long the registry has been without
-   an outage, as far as it knows. */
+/* A peer answered a read, with what it knew age_us ago; stable_us: for how long
+   the registry has been without an outage, as far as it knows. */
 void eel_registry_view_read_peer (struct eel_registry_view *view,
                                   int64_t stable_us,
+                                  int64_t age_us,
                                   int64_t now_us);
+/* Time until the news are so old that they have to come from the registry
+   itself; 0 or less: they are. */
+int64_t eel_registry_view_fresh_for_us (const struct eel_registry_view *view,
+                                        int64_t now_us);
 /* Call it when the items of a peer have been applied.  Returns 1 when the
    registry has to be asked whether it is reached: the check is then pending. */
 int eel_registry_view_applied (struct eel_registry_view *view, int64_t now_us);
--- a/src/membership/read_source.c
+++ b/src/membership/read_source.c
@@ -143,7 +143,9 @@
 /* Prefers peers over the registry; when all have to be waited for, the one that
    can be read first. */
 struct eel_read_choice
-eel_read_source_next (const struct eel_read_source *source, int64_t now_us)
+eel_read_source_next (const struct eel_read_source *source,
+                      int stale,
+                      int64_t now_us)
 {
   struct eel_read_choice choice
       = { .wait_us = source->registry_avoid_until_us - now_us };
@@ -151,6 +153,8 @@
   int64_t peer_wait_us = INT64_MAX;
   const struct eel_read_peer *first = NULL;
 
+  if (stale && choice.wait_us <= 0)
+    return (struct eel_read_choice){ 0 };
   for (uint32_t n = 0; (peer = nth_candidate (source, n)) != NULL; n++)
     if (peer->avoid_until_us - now_us < peer_wait_us)
       {
--- a/src/membership/registry_view.c
+++ b/src/membership/registry_view.c
@@ -79,14 +79,15 @@
 static int
 missed_news (const struct eel_registry_view *view, int64_t now_us)
 {
-  return view->news_us != 0 && now_us - view->news_us >= OUTAGE_MIN_US;
+  return view->as_of_us != 0 && now_us - view->as_of_us >= OUTAGE_MIN_US;
 }
 
 static void
-record_news (struct eel_registry_view *view, int64_t now_us)
+record_news (struct eel_registry_view *view, int64_t as_of_us)
 {
   view->failing_since_us = 0;
-  view->news_us = now_us;
+  if (as_of_us > view->as_of_us)
+    view->as_of_us = as_of_us;
 }
 
 void
@@ -107,14 +108,22 @@
 void
 eel_registry_view_read_peer (struct eel_registry_view *view,
                              int64_t stable_us,
+                             int64_t age_us,
                              int64_t now_us)
 {
-  if (view->news_us == 0 || missed_news (view, now_us))
+  if (view->as_of_us == 0 || missed_news (view, now_us))
     view->stable_since_us = now_us - stable_us;
   if (!view->path_lost)
     eel_directory_set_stable_since (view->directory, view->stable_since_us);
   eel_directory_set_confirmed (view->directory, is_confirmed (view, now_us));
-  record_news (view, now_us);
+  record_news (view, now_us - age_us);
+}
+
+int64_t
+eel_registry_view_fresh_for_us (const struct eel_registry_view *view,
+                                int64_t now_us)
+{
+  return view->as_of_us + EEL_NEWS_MAX_AGE_US - now_us;
 }
 
 /* Without removals the registry need not be asked. */
--- a/tests/fuzz/drain_node.c
+++ b/tests/fuzz/drain_node.c
@@ -6,8 +6,8 @@
 /* A node that reads items as platform/item_reader.c does, and tells them as
    platform/item_share.c does. */
 
-/* A node answers peers while it had news within this time. */
-#define CURRENT_FOR_US (2 * EEL_US_PER_S)
+/* Shortest time for a call to a peer. */
+#define SHORTENED_MIN_US (50 * EEL_US_PER_MS)
 
 static uint32_t
 ip_of (uint32_t index)
@@ -98,6 +98,16 @@
     node->removals_since = revision;
 }
 
+static struct eel_read_choice
+next_source (const struct world *world, const struct node *node)
+{
+  int stale
+      = node->view.as_of_us != 0
+        && eel_registry_view_fresh_for_us (&node->view, world->now_us) <= 0;
+
+  return eel_read_source_next (&node->source, stale, world->now_us);
+}
+
 static void
 call_failed (struct world *world, struct node *node, int unanswered)
 {
@@ -108,13 +118,12 @@
                                    world->now_us);
   eel_read_source_failed (
       &node->source, registry ? 0 : ip_of ((uint32_t)node->calling),
-      unanswered || registry ? EEL_READ_UNREACHABLE : EEL_READ_NO_NEWS,
+      (unanswered && !node->shortened) || registry ? EEL_READ_UNREACHABLE
+                                                   : EEL_READ_NO_NEWS,
       world->now_us, eel_rng_unit (&world->rng));
   node->verified = 0;
   node->calling = -1;
-  node->next_call_us
-      = world->now_us
-        + eel_read_source_next (&node->source, world->now_us).wait_us;
+  node->next_call_us = world->now_us + next_source (world, node).wait_us;
 }
 
 static void
@@ -162,7 +171,7 @@
 has_news (const struct world *world, const struct node *node)
 {
   return node->after > 0 && node->view.failing_since_us == 0
-         && world->now_us - node->view.news_us < CURRENT_FOR_US;
+         && eel_registry_view_fresh_for_us (&node->view, world->now_us) > 0;
 }
 
 static void
@@ -181,10 +190,17 @@
       call_failed (world, node, peer->state == NODE_DOWN);
       return;
     }
-  if (peer->after <= node->after && world->now_us < node->call_until_us)
+  if (world->now_us >= node->timeout_us)
+    {
+      call_failed (world, node, 1);
+      return;
+    }
+  if (peer->after <= node->after && peer->view.as_of_us <= node->held_as_of_us
+      && world->now_us < node->call_until_us)
     return;
   eel_registry_view_read_peer (
-      &node->view, world->now_us - peer->view.stable_since_us, world->now_us);
+      &node->view, world->now_us - peer->view.stable_since_us,
+      world->now_us - peer->view.as_of_us, world->now_us);
   if (node->after == 0 || node->after < peer->removals_since)
     apply_listing (world, node, peer->items, peer->after);
   else
@@ -196,11 +212,26 @@
     node->check_sent_us = world->now_us;
 }
 
+/* A call to a peer ends when the news are too old to wait for it. */
+static void
+bound_peer_call (struct world *world, struct node *node)
+{
+  int64_t fresh_us
+      = eel_registry_view_fresh_for_us (&node->view, world->now_us);
+
+  node->held_as_of_us = world->nodes[node->calling].view.as_of_us;
+  node->shortened
+      = node->view.as_of_us != 0 && world->now_us + fresh_us < node->timeout_us;
+  if (fresh_us < SHORTENED_MIN_US)
+    fresh_us = SHORTENED_MIN_US;
+  if (node->shortened)
+    node->timeout_us = world->now_us + fresh_us;
+}
+
 static void
 start_call (struct world *world, struct node *node)
 {
-  struct eel_read_choice choice
-      = eel_read_source_next (&node->source, world->now_us);
+  struct eel_read_choice choice = next_source (world, node);
   int64_t wait_ms = EEL_READ_FIRST_WAIT_MS;
 
   if (choice.wait_us > 0)
@@ -219,6 +250,8 @@
                      + (choice.peer == NULL ? EEL_READ_REGISTRY_MARGIN_MS
                                             : EEL_READ_PEER_MARGIN_MS)
                            * EEL_US_PER_MS;
+  if (choice.peer != NULL)
+    bound_peer_call (world, node);
 }
 
 static void
--- a/tests/fuzz/drain_world.h
+++ b/tests/fuzz/drain_world.h
@@ -84,6 +84,10 @@
   int64_t call_until_us;
   int64_t timeout_us;
   int64_t next_call_us;
+  /* The call to a peer has less than its whole time; how new its news were when
+     the call came. */
+  int shortened;
+  int64_t held_as_of_us;
   int64_t check_sent_us;
   int64_t check_again_us;
 
--- a/tests/fuzz/fuzz_read_source.c
+++ b/tests/fuzz/fuzz_read_source.c
@@ -131,7 +131,7 @@
       node->registry_failing |= ip == 0;
       node->next_call_us
           = run->now_us
-            + eel_read_source_next (&node->source, run->now_us).wait_us;
+            + eel_read_source_next (&node->source, 0, run->now_us).wait_us;
     }
   else
     {
@@ -148,7 +148,7 @@
 start_call (struct run *run, struct node *node)
 {
   struct eel_read_choice choice
-      = eel_read_source_next (&node->source, run->now_us);
+      = eel_read_source_next (&node->source, 0, run->now_us);
   int32_t target = choice.peer == NULL ? NODES_MAX : index_of (choice.peer->ip);
   int64_t wait_us = target == NODES_MAX ? REGISTRY_WAIT_US : PEER_WAIT_US;
 
--- a/tests/unit/test_read_source.cc
+++ b/tests/unit/test_read_source.cc
@@ -46,7 +46,7 @@
   source_of (uint32_t index, int64_t now_us = 0)
   {
     struct eel_read_choice choice
-        = eel_read_source_next (&nodes[index].source, now_us);
+        = eel_read_source_next (&nodes[index].source, 0, now_us);
 
     return choice.peer == nullptr ? 0 : choice.peer->ip;
   }
@@ -122,6 +122,20 @@
   EXPECT_EQ (domain.readers ().size (), 2u);
 }
 
+// Guards against a node that waits for one lost peer after the other while its
+// news grow old, and against one that hammers a registry that it can't reach.
+TEST (ReadSource, StaleNewsComeFromTheRegistryItself)
+{
+  read_domain domain (19);
+  uint32_t reader = domain.readers ()[0];
+  struct eel_read_source *source = &domain.nodes[reader == 0 ? 1 : 0].source;
+
+  EXPECT_NE (eel_read_source_next (source, 0, 0).peer, nullptr);
+  EXPECT_EQ (eel_read_source_next (source, 1, 0).peer, nullptr);
+  eel_read_source_failed (source, 0, EEL_READ_UNREACHABLE, 0, 0.5);
+  EXPECT_NE (eel_read_source_next (source, 1, 0).peer, nullptr);
+}
+
 // Guards against nodes that keep away from the reader after it is back.
 TEST (ReadSource, NodesReturnToTheReader)
 {
@@ -166,14 +180,14 @@
           // Peers can't tell anything for longer than the registry backs off.
           for (uint32_t peer = 0; peer < source->count; peer++)
             source->peers[peer].avoid_until_us = 60 * EEL_US_PER_S;
-          choice = eel_read_source_next (source, 0);
+          choice = eel_read_source_next (source, 0, 0);
           EXPECT_EQ (choice.peer, nullptr) << each.name;
           EXPECT_LE (choice.wait_us, each.max_us) << each.name;
           EXPECT_GT (choice.wait_us, 0) << each.name;
         }
       EXPECT_GE (choice.wait_us, each.max_us / 2) << each.name;
       eel_read_source_succeeded (source, 0);
-      EXPECT_EQ (eel_read_source_next (source, 0).wait_us, 0) << each.name;
+      EXPECT_EQ (eel_read_source_next (source, 0, 0).wait_us, 0) << each.name;
     }
 }
 
--- a/tests/unit/test_registry_view.cc
+++ b/tests/unit/test_registry_view.cc
@@ -58,7 +58,8 @@
     for (; for_ms > 0; for_ms -= 500)
       {
         wait_ms (500);
-        eel_registry_view_read_peer (&view, stable_ms * EEL_US_PER_MS, now_us);
+        eel_registry_view_read_peer (&view, stable_ms * EEL_US_PER_MS, 0,
+                                     now_us);
         eel_registry_view_applied (&view, now_us);
       }
   }
@@ -67,7 +68,7 @@
   void
   hear_of_removal (int64_t stable_ms)
   {
-    eel_registry_view_read_peer (&view, stable_ms * EEL_US_PER_MS, now_us);
+    eel_registry_view_read_peer (&view, stable_ms * EEL_US_PER_MS, 0, now_us);
     remove ();
     if (eel_registry_view_applied (&view, now_us))
       {
@@ -126,7 +127,7 @@
 {
   put ();
   follow (8000, always_ms);
-  eel_registry_view_read_peer (&view, always_ms * EEL_US_PER_MS, now_us);
+  eel_registry_view_read_peer (&view, always_ms * EEL_US_PER_MS, 0, now_us);
   remove ();
   ASSERT_TRUE (eel_registry_view_applied (&view, now_us));
   EXPECT_TRUE (usable ());
@@ -145,7 +146,7 @@
 
   put ();
   follow (500, always_ms);
-  eel_registry_view_read_peer (&view, always_ms * EEL_US_PER_MS, now_us);
+  eel_registry_view_read_peer (&view, always_ms * EEL_US_PER_MS, 0, now_us);
   remove ();
   ASSERT_TRUE (eel_registry_view_applied (&view, now_us));
   now_us = returned_us + EEL_PATH_CHECK_TIMEOUT_MS * EEL_US_PER_MS;
@@ -176,3 +177,20 @@
   wait_ms (1800);
   EXPECT_FALSE (usable ());
 }
+
+// Guards against news that count as fresh because a peer has just told them.
+TEST_F (view_test, NewsAreAsOldAsAtTheirSource)
+{
+  const int64_t max_us = EEL_NEWS_MAX_AGE_US;
+
+  eel_registry_view_read_peer (&view, 0, 400 * EEL_US_PER_MS, now_us);
+  EXPECT_EQ (eel_registry_view_fresh_for_us (&view, now_us),
+             max_us - 400 * EEL_US_PER_MS);
+  // An older word changes nothing.
+  eel_registry_view_read_peer (&view, 0, 900 * EEL_US_PER_MS, now_us);
+  EXPECT_EQ (eel_registry_view_fresh_for_us (&view, now_us),
+             max_us - 400 * EEL_US_PER_MS);
+  wait_ms (1000);
+  eel_registry_view_read_registry (&view, now_us);
+  EXPECT_EQ (eel_registry_view_fresh_for_us (&view, now_us), max_us);
+}
--- a/tools/fuzz_faults.sh
+++ b/tools/fuzz_faults.sh
@@ -1,9 +1,11 @@
 #!/bin/sh
 # Builds each deliberate fault of tests/fuzz/faults in a scratch copy of the
 # tree and checks that fuzzing finds it within the steps and seeds of CI.
+# FAULTS selects some of them by a pattern of names.
 set -u
 STEPS=${STEPS:-50000}
 SEEDS=${SEEDS:-1 2 3}
+FAULTS=${FAULTS:-*}
 MAKE=${MAKE:-make}
 scratch=$(mktemp -d)
 trap 'rm -rf "$scratch"' EXIT
@@ -12,7 +14,8 @@
 
 cp -a Makefile include src tests "$scratch"
 build() {
-	(cd "$scratch" && $MAKE -j4 build/fuzz_execution build/fuzz_membership) \
+	(cd "$scratch" && $MAKE -j4 build/fuzz_execution build/fuzz_membership \
+		build/fuzz_drain) \
 		>"$scratch/make.out" 2>&1
 }
 if ! build; then
@@ -32,7 +35,7 @@
 	done
 }
 
-for program in execution membership; do
+for program in execution membership drain; do
 	search $program
 	if [ -n "$result" ]; then
 		echo "fuzz_$program without a fault: $result"
@@ -40,7 +43,7 @@
 	fi
 done
 printf '%-44s %s\n' fault found
-for patch in tests/fuzz/faults/*.patch; do
+for patch in tests/fuzz/faults/$FAULTS.patch; do
 	name=$(basename "$patch" .patch)
 	program=${name%%_*}
 	if ! patch -s -p1 -d "$scratch" <"$patch"; then
