Keep to the rate of requests that an endpoint names

Cause: nothing read Server-Limit; it was passed on to the caller. Change: the node beside an endpoint reads the rate from each answer and keeps to it by a token bucket in its gate. All requests for an endpoint pass that node, so one bucket holds for all senders, whoever joins, leaves or restarts. Its use of the rate counts in the load that it reports, so that senders place requests elsewhere; what waits starts by rank, while it can still be in time; the rest is refused before it is run. An answer without the field lifts the limit, one with a value that is no number changes nothing, of several the least counts. With less than one request in 4 s one is still let through as often, whose answer tells the end. A node that has restarted is told the limit by its senders; the limit of one endpoint does not hold for its successor at the address. Weighed: a share of the limit for each sender, divided by the number of senders. It is wrong while they can't hear each other, and needs a slack that the single bucket doesn't.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -39,6 +39,9 @@
   uint32_t fault_milli;
   /* Mean time that a request holds a slot; 0: unknown. */
   int64_t hold_us;
+  /* The endpoint names a limit, in thousandths of a request a second. */
+  uint8_t has_limit;
+  uint64_t limit_milli;
 };
 
 struct eel_instance
--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eelgrasslatch/rate_limit.h"
 #include "eelgrasslatch/types.h"
 
 /*
@@ -14,6 +15,8 @@
  * order of rank; within a rank those that can still meet their target go first,
  * in order of target.  A request whose expected wait is too long is refused on
  * arrival, before anything is spent on it.
+ *
+ * An endpoint in need names a rate of requests; the gate keeps to that too.
  */
 
 #define EEL_GATE_QUEUE_MAX 512
@@ -40,6 +43,7 @@
 struct eel_gate
 {
   uint32_t limit;
+  struct eel_rate_limit rate;
   uint32_t running;
   struct eel_gate_item queue[EEL_GATE_QUEUE_MAX];
   uint32_t queued;
@@ -79,6 +83,9 @@
 uint32_t eel_gate_use_milli (struct eel_gate *gate, int64_t now_us);
 
 /* Expected wait of a request of the least important rank that arrives now. */
-int64_t eel_gate_wait_us (const struct eel_gate *gate);
+int64_t eel_gate_wait_us (const struct eel_gate *gate, int64_t now_us);
+/* Time until a queued request may start although no slot becomes free; 0: that
+   is not what it waits for. */
+int64_t eel_gate_next_start_us (const struct eel_gate *gate, int64_t now_us);
 
 #endif
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -20,6 +20,7 @@
 {
   memset (gate, 0, sizeof *gate);
   gate->hold_us = INITIAL_HOLD_US;
+  eel_rate_limit_init (&gate->rate);
   eel_gate_set_slots (gate, slots);
 }
 
@@ -35,7 +36,10 @@
 static void
 update_use (struct eel_gate *gate, int64_t now_us)
 {
-  double use = 1000.0 * (gate->running + gate->queued) / gate->limit;
+  double rate_use
+      = eel_rate_limit_use_milli (&gate->rate, gate->queued, now_us);
+  double use
+      = fmax (1000.0 * (gate->running + gate->queued) / gate->limit, rate_use);
   double passed_us = (double)(now_us - gate->use_at_us);
   double weight = gate->use_at_us == 0 || passed_us < 0
                       ? 1
@@ -73,19 +77,31 @@
   return a_late ? a->deadline_us < b->deadline_us : a->target_us < b->target_us;
 }
 
-/* Expected time until an item with so many ahead of it gets a slot. */
+/* Expected time until an item with so many ahead of it gets a slot, and may
+   start. */
 static int64_t
-expected_wait_us (const struct eel_gate *gate, uint32_t ahead)
+expected_wait_us (const struct eel_gate *gate, uint32_t ahead, int64_t now_us)
 {
-  return (int64_t)((ahead + 1) * gate->hold_us / gate->limit);
+  int64_t rate_us = eel_rate_limit_wait_us (&gate->rate, ahead, now_us);
+  int64_t slot_us = (int64_t)((ahead + 1) * gate->hold_us / gate->limit);
+
+  return rate_us > slot_us ? rate_us : slot_us;
 }
 
 int64_t
-eel_gate_wait_us (const struct eel_gate *gate)
+eel_gate_wait_us (const struct eel_gate *gate, int64_t now_us)
 {
   if (gate->running < gate->limit && gate->queued == 0)
-    return 0;
-  return expected_wait_us (gate, gate->queued);
+    return eel_rate_limit_wait_us (&gate->rate, 0, now_us);
+  return expected_wait_us (gate, gate->queued, now_us);
+}
+
+int64_t
+eel_gate_next_start_us (const struct eel_gate *gate, int64_t now_us)
+{
+  return gate->queued == 0 || gate->running >= gate->limit
+             ? 0
+             : eel_rate_limit_wait_us (&gate->rate, 0, now_us);
 }
 
 /*
@@ -124,14 +140,15 @@
                 int64_t now_us)
 {
   update_use (gate, now_us);
-  if (gate->running < gate->limit && gate->queued == 0)
+  if (gate->running < gate->limit && gate->queued == 0
+      && eel_rate_limit_take (&gate->rate, now_us))
     {
       gate->running++;
       gate->started++;
       return EEL_GATE_START;
     }
   if (gate->queued == EEL_GATE_QUEUE_MAX
-      || expected_wait_us (gate, count_ahead (gate, item, now_us))
+      || expected_wait_us (gate, count_ahead (gate, item, now_us), now_us)
              > allowed_wait_us (gate, item, now_us))
     {
       gate->refused++;
@@ -177,7 +194,8 @@
         gate->refused++;
         return EEL_GATE_REFUSE;
       }
-  if (gate->running >= gate->limit)
+  if (gate->running >= gate->limit
+      || !eel_rate_limit_take (&gate->rate, now_us))
     return EEL_GATE_QUEUE;
   for (uint32_t i = 1; i < gate->queued; i++)
     if (precedes (gate, &gate->queue[i], &gate->queue[best], now_us))
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -9,6 +9,9 @@
 #include "relay/crash.h"
 #include "relay/relay.h"
 
+/* A limit that was told longer ago may have ended. */
+#define LIMIT_TOLD_LIFE_US (5 * EEL_US_PER_S)
+
 static const char *const failure_names[EEL_FAILURE_COUNT] = {
   [EEL_FAILURE_REFUSED] = "refused", [EEL_FAILURE_LEAVING] = "leaving",
   [EEL_FAILURE_SHED] = "shed",       [EEL_FAILURE_MISDIRECTED] = "misdirected",
@@ -182,6 +185,21 @@
   return (attempt->call.deadline_us - now_us) / EEL_US_PER_MS;
 }
 
+/* Tells the node beside the endpoint what it has told: it may have restarted.
+ */
+static void
+write_limit (const struct eel_instance *instance,
+             int64_t now_us,
+             struct evbuffer *out)
+{
+  const struct eel_instance_report *report = &instance->report;
+
+  if (report->has_limit && now_us - instance->reported_us < LIMIT_TOLD_LIFE_US)
+    evbuffer_add_printf (out, "%s: %" PRIu64 ".%03u\r\n", EEL_RELAY_LIMIT,
+                         report->limit_milli / 1000,
+                         (unsigned)(report->limit_milli % 1000));
+}
+
 /* Writes the request's head, for the endpoint or (to_peer) for its node. Fields
    that this system sets are not copied from the caller. */
 void
@@ -199,6 +217,7 @@
                                EEL_RELAY_LOAD,
                                EEL_RELAY_REFUSED,
                                EEL_RELAY_CRASHED,
+                               EEL_RELAY_LIMIT,
                                NULL };
   int64_t now_us = eel_clock_us ();
 
@@ -214,6 +233,8 @@
                          call->instance_id);
   if (to_peer)
     eel_crash_write (attempt->relay, out);
+  if (to_peer)
+    write_limit (attempt->instance, now_us, out);
   if (to_peer)
     evbuffer_add_printf (
         out,
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -6,6 +6,7 @@
 #include "relay/attempt.h"
 #include "relay/crash.h"
 #include "relay/relay.h"
+#include "relay/self_report.h"
 
 /* Longest idle time before a link is reused: later the endpoint may close it
    while the request is being sent.  The limit is lower for a request that must
@@ -124,6 +125,7 @@
                  attempt->call.request_id, head->status);
       return 0;
     }
+  eel_self_report_read (attempt->relay, attempt->call.instance_id, head);
   record_own_load (attempt);
   attempt->is_refusal = (uint8_t)not_run;
   attempt->refusal
@@ -317,6 +319,7 @@
       attempt->ops->fail (attempt->owner, EEL_FAILURE_LEAVING, refusal);
       return;
     }
+  eel_self_report_expect (attempt->relay, call->instance_id);
   switch (eel_gate_offer (&attempt->relay->gate, &item, attempt->started_us))
     {
     case EEL_GATE_START:
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -48,11 +48,16 @@
 {
   struct eel_instance_report *endpoint = &load->endpoint;
 
-  return sscanf (text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64,
-                 &endpoint->use_milli, &load->wait_us,
-                 &load->callee_pressure_milli, &load->revision,
-                 &endpoint->fault_milli, &endpoint->hold_us)
-             == 6
+  unsigned has_limit = 0;
+  int count = sscanf (
+      text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64 " %u %" SCNu64,
+      &endpoint->use_milli, &load->wait_us, &load->callee_pressure_milli,
+      &load->revision, &endpoint->fault_milli, &endpoint->hold_us, &has_limit,
+      &endpoint->limit_milli);
+
+  endpoint->has_limit = (uint8_t)has_limit;
+  return count == 8 && has_limit <= 1
+         && endpoint->limit_milli <= (uint64_t)(EEL_RATE_MAX * 1000)
          && endpoint->use_milli <= USE_MAX_MILLI
          && endpoint->fault_milli <= 1000 && endpoint->hold_us >= 0
          && endpoint->hold_us <= LOAD_TIME_MAX_US && load->wait_us >= 0
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -9,6 +9,7 @@
 #include "relay/attempt.h"
 #include "relay/crash.h"
 #include "relay/relay.h"
+#include "relay/self_report.h"
 
 /*
  * Runs requests that entry nodes forward to this node's endpoint.  The answer
@@ -56,10 +57,12 @@
   eel_relay_own_load (relay, route, &load);
   if (lines != NULL)
     evbuffer_add_printf (lines,
-                         "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64 "\r\n",
+                         "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64
+                         " %u %" PRIu64 "\r\n",
                          EEL_RELAY_LOAD, load.endpoint.use_milli, load.wait_us,
                          load.callee_pressure_milli, load.revision,
-                         load.endpoint.fault_milli, load.endpoint.hold_us);
+                         load.endpoint.fault_milli, load.endpoint.hold_us,
+                         load.endpoint.has_limit, load.endpoint.limit_milli);
   if (lines != NULL)
     eel_crash_write (relay, lines);
   return lines;
@@ -209,6 +212,7 @@
   call->rank = (uint8_t)rank;
   call->idempotent = (uint8_t)(idempotent != 0);
   eel_crash_read (relay, request);
+  eel_self_report_read_hint (relay, call->instance_id, request);
   call->target_us = now_us + target_ms * EEL_US_PER_MS;
   call->deadline_us = now_us + strtoll (remaining, NULL, 10) * EEL_US_PER_MS;
   return call->caller_service != NULL;
--- a/src/relay/message.c
+++ b/src/relay/message.c
@@ -76,14 +76,20 @@
 /* Returns the value of the first field of that name (case-insensitive), or
    NULL.  The pointer is valid until the head changes. */
 const char *
-eel_head_get (const struct eel_head *head, const char *name)
+eel_head_get_nth (const struct eel_head *head, const char *name, uint32_t n)
 {
   for (uint32_t i = 0; i < head->count; i++)
-    if (strcasecmp (head->text + head->fields[i].name, name) == 0)
+    if (strcasecmp (head->text + head->fields[i].name, name) == 0 && n-- == 0)
       return head->text + head->fields[i].value;
   return NULL;
 }
 
+const char *
+eel_head_get (const struct eel_head *head, const char *name)
+{
+  return eel_head_get_nth (head, name, 0);
+}
+
 const char *
 eel_head_target (const struct eel_head *head)
 {
--- a/src/relay/message.h
+++ b/src/relay/message.h
@@ -54,6 +54,9 @@
 /* Transfers the contents of head to target, whose own are freed first. */
 void eel_head_move (struct eel_head *target, struct eel_head *head);
 const char *eel_head_get (const struct eel_head *head, const char *name);
+/* Returns the value of the field's nth occurrence, counted from 0, or NULL. */
+const char *
+eel_head_get_nth (const struct eel_head *head, const char *name, uint32_t n);
 const char *eel_head_target (const struct eel_head *head);
 /* Marks the hop-by-hop fields. */
 void eel_head_mark_hop_by_hop (struct eel_head *head);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -55,11 +55,12 @@
     return;
   g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
              "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-             " callers=%u links=%u faults=%u",
+             " callers=%u links=%u faults=%u endpoint_limit=%.1f",
              gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
              gate->started - relay->load_logged_started, gate->refused,
              relay->callers.exchange_count, relay->endpoint_pool.open_count,
-             eel_fault_rate_milli (&relay->fault_rate, now_us));
+             eel_fault_rate_milli (&relay->fault_rate, now_us),
+             gate->rate.per_s);
   relay->load_logged_us = now_us;
   relay->load_logged_started = gate->started;
 }
@@ -116,6 +117,14 @@
   log_load (relay, now_us);
 }
 
+static void
+on_start_timer (evutil_socket_t fd, short what, void *data)
+{
+  (void)fd;
+  (void)what;
+  eel_relay_dispatch_queued (data);
+}
+
 static void
 init_counters (struct eel_relay_counters *counters, struct eel_metrics *metrics)
 {
@@ -174,6 +183,7 @@
   memset (relay, 0, sizeof *relay);
   relay->base = base;
   relay->config = *config;
+  relay->limit_logged_per_s = EEL_RATE_UNLIMITED;
   eel_rng_init (&relay->rng, (uint64_t)eel_clock_us ()
                                  ^ ((uint64_t)config->ip.s_addr << 32));
   eel_service_names_init (&relay->names);
@@ -196,7 +206,9 @@
     return 0;
   eel_directory_init (&relay->directory, instances, INSTANCES_MAX);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
-  return relay->tick != NULL && event_add (relay->tick, &tick) == 0
+  relay->start_timer = event_new (base, -1, 0, on_start_timer, relay);
+  return relay->tick != NULL && relay->start_timer != NULL
+         && event_add (relay->tick, &tick) == 0
          && eel_server_init (&relay->callers, base, &config->callers,
                              &eel_entry_ops, relay)
          && eel_server_init (&relay->peers, base, &config->peers,
@@ -213,6 +225,8 @@
   g_hash_table_destroy (relay->peer_pools);
   if (relay->tick != NULL)
     event_free (relay->tick);
+  if (relay->start_timer != NULL)
+    event_free (relay->start_timer);
   if (relay->routes != NULL)
     {
       eel_route_table_finish (relay->routes);
@@ -347,13 +361,17 @@
      only those that find no room elsewhere. */
   if (relay->stopping && load->endpoint.use_milli < STOPPING_USE_MILLI)
     load->endpoint.use_milli = STOPPING_USE_MILLI;
-  load->wait_us = eel_gate_wait_us (&relay->gate);
+  load->wait_us = eel_gate_wait_us (&relay->gate, now_us);
   load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
       &relay->entry_gate, &relay->call_costs, route, now_us);
   load->revision = relay->revision;
   load->endpoint.fault_milli
       = eel_fault_rate_milli (&relay->fault_rate, now_us);
   load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
+  load->endpoint.has_limit = (uint8_t)(relay->gate.rate.per_s >= 0);
+  load->endpoint.limit_milli = load->endpoint.has_limit
+                                   ? (uint64_t)(relay->gate.rate.per_s * 1000)
+                                   : 0;
 }
 
 /* Records the greater of the pressure at the service (expected wait relative to
@@ -375,6 +393,17 @@
     relay->peer_revision = load->revision;
 }
 
+static void
+schedule_start (struct eel_relay *relay)
+{
+  int64_t wait_us = eel_gate_next_start_us (&relay->gate, eel_clock_us ());
+  const struct timeval wait
+      = { .tv_sec = wait_us / EEL_US_PER_S, .tv_usec = wait_us % EEL_US_PER_S };
+
+  if (wait_us > 0)
+    event_add (relay->start_timer, &wait);
+}
+
 void
 eel_relay_dispatch_queued (struct eel_relay *relay)
 {
@@ -390,6 +419,7 @@
         eel_attempt_refused (item.owner);
         break;
       case EEL_GATE_QUEUE:
+        schedule_start (relay);
         return;
       }
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -35,6 +35,8 @@
   const char *not_executed;
   /* The id of the endpoint that answers instead of the expected one. */
   const char *actual_instance;
+  /* Requests a second that the endpoint takes from all nodes together. */
+  const char *rate_limit;
 };
 
 /* Header fields between nodes. */
@@ -44,6 +46,8 @@
 /* Fingerprint, state and remaining life in ms of a request that crashes
    endpoints. */
 #define EEL_RELAY_CRASHED "Eel-Crashed"
+/* Requests a second that the endpoint takes, as its node told the sender. */
+#define EEL_RELAY_LIMIT "Eel-Limit"
 
 #define EEL_RELAY_QUARANTINE_MAX 64
 
@@ -121,6 +125,13 @@
      below. */
   char actual_instance[EEL_INSTANCE_ID_MAX];
   int64_t actual_until_us;
+  /* Endpoint that answered here last, and whether it has said since this node
+     runs what limit it has. */
+  char reported_id[EEL_INSTANCE_ID_MAX];
+  uint8_t has_reported;
+  double limit_logged_per_s;
+  /* Starts requests that wait for the endpoint's limit. */
+  struct event *start_timer;
   /* struct eel_pool by IPv4 address. */
   GHashTable *peer_pools;
   struct event *tick;
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -10,6 +10,7 @@
   .caller_service = "From-Service",
   .not_executed = "Not-Run",
   .actual_instance = "Actual",
+  .rate_limit = "Limit",
 };
 
 static void
--- a/tests/unit/test_entry_gate.cc
+++ b/tests/unit/test_entry_gate.cc
@@ -97,7 +97,7 @@
 
     eel_gate_done (&gate, 15000, now_us);
     reports.push_back ({ now_us + 300 * EEL_US_PER_MS,
-                         (double)eel_gate_wait_us (&gate) / 300.0 });
+                         (double)eel_gate_wait_us (&gate, now_us) / 300.0 });
     if (--each.calls > 0)
       call (index, now_us);
     else if (now_us - each.arrived_us < 1200 * EEL_US_PER_MS)
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -97,7 +97,7 @@
         eel_fault_rate_record (&chosen.faults, faulty, now_us);
         const struct eel_instance_report report
             = { chosen.use_milli, eel_fault_rate_milli (&chosen.faults, now_us),
-                chosen.hold_us };
+                chosen.hold_us, 0, 0 };
 
         eel_place_answered (picked, &report, now_us);
         for (auto &each : upstreams)
@@ -177,7 +177,7 @@
     for (const char *id : { "far-1", "far-2" })
       {
         const struct eel_instance_report report
-            = { 100, 0, load.at (id).hold_us };
+            = { 100, 0, load.at (id).hold_us, 0, 0 };
 
         eel_place_answered (eel_directory_find (&directory, id), &report,
                             load.now_us);
--- a/tests/unit/test_place_overload.cc
+++ b/tests/unit/test_place_overload.cc
@@ -116,7 +116,7 @@
         {
           const struct eel_instance_report report
               = { (gates[d].running + gates[d].queued) * 1000 / gates[d].limit,
-                  0, 0 };
+                  0, 0, 0, 0 };
 
           eel_place_answered (eel_directory_find (&directories[sender],
                                                   std::to_string (d).c_str ()),
@@ -220,7 +220,7 @@
         &directories[each.sender], std::to_string (each.at).c_str ());
 
     eel_place_done (instance, 1);
-    const struct eel_instance_report report = { next.use_milli, 0, 0 };
+    const struct eel_instance_report report = { next.use_milli, 0, 0, 0, 0 };
 
     eel_place_answered (instance, &report, next.at_us);
     if (next.what == REFUSED)
--- a/tests/unit/test_relay_limit.cc
+++ b/tests/unit/test_relay_limit.cc
@@ -89,3 +89,88 @@
   EXPECT_EQ (answered ("200"), arrivals (1));
   EXPECT_EQ (answered ("200") + answered ("503"), conns.size ());
 }
+
+// Guards against a limit that is kept when the endpoint no longer names one.
+TEST_F (relay_limit_test, LimitEndsWithTheEndpointsWord)
+{
+  lines = "Limit: 1\r\n";
+  cluster.list_upstream (1, 50);
+  ASSERT_TRUE (burst (1, "/once/first"));
+  EXPECT_EQ (cluster.nodes[1]->relay.gate.rate.per_s, 1);
+  lines = "";
+  ASSERT_TRUE (burst (1, "/once/second"));
+  ASSERT_TRUE (burst (20, "/once/x"));
+  EXPECT_EQ (arrivals (1), 22u);
+}
+
+// Guards against a node that forgets the limit of its endpoint when it
+// restarts: the senders still know it.
+TEST_F (relay_limit_test, NodeThatRestartedIsToldTheLimit)
+{
+  struct eel_relay &beside = cluster.nodes[1]->relay;
+
+  lines = "Limit: 1\r\n";
+  cluster.list_upstream (1, 50);
+  ASSERT_TRUE (burst (1, "/once/first"));
+  eel_rate_limit_init (&beside.gate.rate);
+  beside.has_reported = 0;
+  beside.reported_id[0] = 0;
+  ASSERT_TRUE (burst (20, "/once/x"));
+  EXPECT_LE (arrivals (1), 6u);
+}
+
+// Guards against the limit of an endpoint that is kept for its successor at the
+// same address.
+TEST_F (relay_limit_test, SuccessorHasNoLimit)
+{
+  lines = "Limit: 1\r\n";
+  cluster.list_upstream (1, 50);
+  ASSERT_TRUE (burst (1, "/once/first"));
+  lines = "";
+  cluster.list_upstream (1, 50, false);
+  cluster.revision++;
+  for (size_t at = 0; at < 3; at++)
+    cluster.list_upstream_at (at, 1, "up-2b", 50);
+  ASSERT_TRUE (burst (20, "/once/x"));
+  EXPECT_GE (arrivals (1), 19u);
+}
+
+// Guards against values that are no limit, and against the greater one of two.
+TEST_F (relay_limit_test, OddLimitsOfAnEndpoint)
+{
+  const struct
+  {
+    const char *name;
+    const char *lines;
+    double per_s;
+  } cases[] = {
+    { "known", "Limit: 7\r\n", 7 },
+    { "no number", "Limit: many\r\n", 7 },
+    { "negative", "Limit: -3\r\n", 7 },
+    { "empty", "Limit:\r\n", 7 },
+    { "huge", "Limit: 100000000000000000000\r\n", EEL_RATE_MAX },
+    { "twice", "Limit: 9\r\nLimit: 8\r\n", 8 },
+    { "one of two is none", "Limit: x\r\nLimit: 8.5\r\n", 8.5 },
+    { "none", "", EEL_RATE_UNLIMITED },
+  };
+
+  cluster.list_upstream (1, 50);
+  for (const auto &each : cases)
+    {
+      lines = each.lines;
+      ASSERT_TRUE (burst (1, "/once/x")) << each.name;
+      EXPECT_DOUBLE_EQ (cluster.nodes[1]->relay.gate.rate.per_s, each.per_s)
+          << each.name;
+    }
+}
+
+// Guards against a caller who sets the field that nodes send each other.
+TEST_F (relay_limit_test, CallersCannotNameALimit)
+{
+  cluster.list_upstream (1, 50);
+  cluster.send_request (
+      request_text ("GET", "/safe/a", "r1", "Eel-Limit: 0\r\n"));
+  EXPECT_EQ (cluster.nodes[1]->relay.gate.rate.per_s, EEL_RATE_UNLIMITED);
+  EXPECT_EQ (cluster.nodes[1]->upstream.requests[0].find ("Eel-Limit"),
+             std::string::npos);
+}
