Stop at an endpoint's own word that it leaves

Cause: nothing read Server-Leaving. A node that passed such an answer on and then lost the store, or its source, would have gone on sending. Change: the node beside an endpoint takes the word as that the endpoint leaves: it refuses what comes later and what waits, and tells the sender of the request, who keeps to it as well, in case that node restarts. The word holds until the endpoint starts again, told by the time of its start (born) or, without one, by its return to service.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -55,6 +55,11 @@
   uint16_t port;
   uint32_t slots;
   uint8_t same_domain;
+  /* The endpoint itself has said that it leaves. */
+  uint8_t leaving;
+  /* When it started, by its own clock; 0: unknown.  Tells two starts under one
+     id apart. */
+  int64_t born_ms;
   int64_t cold_until_us;
   /* When this node learned of the newest registration, and of its loss. */
   int64_t registered_us;
@@ -100,6 +105,9 @@
                           const char *id,
                           uint64_t revision,
                           int64_t now_us);
+/* Records that an endpoint has said that it leaves, which holds until it starts
+   again.  Returns 1 when that was not known. */
+int eel_directory_set_leaving (struct eel_directory *directory, const char *id);
 /* Begins an outage of the registry. */
 void eel_directory_set_unstable (struct eel_directory *directory);
 /* Ends an outage, or records an earlier one that ended at that time. */
@@ -118,6 +126,9 @@
 /* Endpoint of a service at an address, for the node on the same VM, or NULL. */
 struct eel_instance *eel_directory_find_by_address (
     struct eel_directory *directory, uint32_t ip, uint16_t service);
+/* True while the registry counts the endpoint as in service. */
+int eel_instance_listed (const struct eel_instance *instance);
+/* True for endpoints that may receive requests. */
 int eel_instance_usable (const struct eel_instance *instance);
 
 #endif
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -44,14 +44,19 @@
   return found;
 }
 
-/* True for endpoints that may receive requests. */
 int
-eel_instance_usable (const struct eel_instance *instance)
+eel_instance_listed (const struct eel_instance *instance)
 {
   return instance->state == EEL_INSTANCE_READY
          || instance->state == EEL_INSTANCE_LAPSED;
 }
 
+int
+eel_instance_usable (const struct eel_instance *instance)
+{
+  return eel_instance_listed (instance) && !instance->leaving;
+}
+
 /* Returns a free slot, or that of the oldest removed entry without requests. */
 static struct eel_instance *
 acquire_slot (struct eel_directory *directory)
@@ -73,6 +78,17 @@
   return oldest;
 }
 
+/* Without the time of its start, an endpoint that is back in service after it
+   had left counts as another start. */
+static int
+is_same_start (const struct eel_instance *known,
+               const struct eel_instance *instance)
+{
+  if (known->born_ms != 0 && instance->born_ms != 0)
+    return known->born_ms == instance->born_ms;
+  return eel_instance_listed (known) || instance->state != EEL_INSTANCE_READY;
+}
+
 /* Adds or updates an entry; the sender's state of a known one is kept. */
 int
 eel_directory_put (struct eel_directory *directory,
@@ -94,6 +110,9 @@
       known->unaccepted = 0;
       return 1;
     }
+  if (!is_same_start (known, instance))
+    known->leaving = 0;
+  known->born_ms = instance->born_ms;
   known->service = instance->service;
   known->state = instance->state;
   known->revision = instance->revision;
@@ -141,6 +160,17 @@
   return 1;
 }
 
+int
+eel_directory_set_leaving (struct eel_directory *directory, const char *id)
+{
+  struct eel_instance *known = eel_directory_find (directory, id);
+
+  if (known == NULL || known->leaving)
+    return 0;
+  known->leaving = 1;
+  return 1;
+}
+
 void
 eel_directory_set_unstable (struct eel_directory *directory)
 {
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -218,6 +218,7 @@
                                EEL_RELAY_REFUSED,
                                EEL_RELAY_CRASHED,
                                EEL_RELAY_LIMIT,
+                               EEL_RELAY_LEAVING,
                                NULL };
   int64_t now_us = eel_clock_us ();
 
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -126,8 +126,8 @@
 static struct evbuffer *
 answer_lines (const struct eel_entry *entry, const struct eel_head *head)
 {
-  const char *const skip[]
-      = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, NULL };
+  const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED,
+                               EEL_RELAY_CRASHED, EEL_RELAY_LEAVING, NULL };
   struct evbuffer *lines = evbuffer_new ();
 
   (void)entry;
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -91,13 +91,17 @@
 static void
 on_head (void *owner, const struct eel_head *head)
 {
-  const char *const skip[]
-      = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, NULL };
+  const char *const skip[] = { EEL_RELAY_LOAD, EEL_RELAY_REFUSED,
+                               EEL_RELAY_CRASHED, EEL_RELAY_LEAVING, NULL };
   struct run *run = owner;
   struct evbuffer *lines = load_header_lines (run->relay, run->call.route);
 
   if (lines != NULL)
-    eel_head_write_fields (head, lines, skip);
+    {
+      eel_head_write_fields (head, lines, skip);
+      eel_self_report_write_leaving (run->relay, run->attempt->call.instance_id,
+                                     head, lines);
+    }
   run->answered = 1;
   eel_exchange_answer (run->exchange, head->status, lines, head->framing,
                        head->length_bytes);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -164,7 +164,7 @@
   uint32_t nodes = 0;
 
   for (uint32_t i = 0; i < relay->directory.count; i++)
-    nodes += (uint32_t)eel_instance_usable (&relay->directory.instances[i]);
+    nodes += (uint32_t)eel_instance_listed (&relay->directory.instances[i]);
   for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX && nodes > 0; i++)
     relay->retries[i].extra = relay->config.retry_extra / nodes;
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -37,6 +37,8 @@
   const char *actual_instance;
   /* Requests a second that the endpoint takes from all nodes together. */
   const char *rate_limit;
+  /* "1" in the answers of an endpoint that leaves. */
+  const char *leaving;
 };
 
 /* Header fields between nodes. */
@@ -48,6 +50,8 @@
 #define EEL_RELAY_CRASHED "Eel-Crashed"
 /* Requests a second that the endpoint takes, as its node told the sender. */
 #define EEL_RELAY_LIMIT "Eel-Limit"
+/* Id of the endpoint that said in this answer that it leaves. */
+#define EEL_RELAY_LEAVING "Eel-Leaving"
 
 #define EEL_RELAY_QUARANTINE_MAX 64
 
--- a/src/relay/self_report.c
+++ b/src/relay/self_report.c
@@ -1,5 +1,6 @@
 #include "relay/self_report.h"
 
+#include <event2/buffer.h>
 #include <inttypes.h>
 #include <math.h>
 #include <stdio.h>
@@ -74,6 +75,43 @@
   return least;
 }
 
+static int
+says_leaving (const struct eel_relay *relay, const struct eel_head *answer)
+{
+  const char *text = eel_head_get (answer, relay->config.header_names->leaving);
+
+  return text != NULL && strcmp (text, "1") == 0;
+}
+
+static void
+set_leaving (struct eel_relay *relay, const char *id)
+{
+  if (!eel_directory_set_leaving (&relay->directory, id))
+    return;
+  g_message ("event=endpoint_says_it_leaves id=%s", id);
+  eel_relay_endpoints_changed (relay);
+}
+
+void
+eel_self_report_write_leaving (const struct eel_relay *relay,
+                               const char *id,
+                               const struct eel_head *answer,
+                               struct evbuffer *lines)
+{
+  if (id != NULL && says_leaving (relay, answer))
+    evbuffer_add_printf (lines, "%s: %s\r\n", EEL_RELAY_LEAVING, id);
+}
+
+void
+eel_self_report_read_leaving (struct eel_relay *relay,
+                              const struct eel_head *answer)
+{
+  const char *id = eel_head_get (answer, EEL_RELAY_LEAVING);
+
+  if (id != NULL)
+    set_leaving (relay, id);
+}
+
 void
 eel_self_report_read (struct eel_relay *relay,
                       const char *id,
@@ -85,6 +123,8 @@
   if (id == NULL)
     return;
   eel_self_report_expect (relay, id);
+  if (says_leaving (relay, answer))
+    set_leaving (relay, id);
   if (!known)
     {
       g_message ("event=endpoint_limit_invalid id=%s", id);
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -11,6 +11,7 @@
   .not_executed = "Not-Run",
   .actual_instance = "Actual",
   .rate_limit = "Limit",
+  .leaving = "Leaving",
 };
 
 static void
