--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -24,6 +24,9 @@
 
 void eel_service_names_init (struct eel_service_names *names);
 void eel_service_names_finish (struct eel_service_names *names);
+/* Returns the number of a name, EEL_NO_SERVICE when it has none. */
+uint16_t eel_service_names_find (const struct eel_service_names *names,
+                                 const char *name);
 /* Returns the number of a name, adding it; EEL_NO_SERVICE when full. */
 uint16_t eel_service_names_intern (struct eel_service_names *names,
                                    const char *name);
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -22,11 +22,21 @@
 
 /* Names are never removed, so that a number stays valid. */
 uint16_t
-eel_service_names_intern (struct eel_service_names *names, const char *name)
+eel_service_names_find (const struct eel_service_names *names, const char *name)
 {
   for (uint16_t i = 0; i < names->count; i++)
     if (strcmp (names->names[i], name) == 0)
       return i;
+  return EEL_NO_SERVICE;
+}
+
+uint16_t
+eel_service_names_intern (struct eel_service_names *names, const char *name)
+{
+  uint16_t known = eel_service_names_find (names, name);
+
+  if (known != EEL_NO_SERVICE)
+    return known;
   if (names->count == EEL_SERVICE_NAMES_MAX)
     return EEL_NO_SERVICE;
   names->names[names->count] = strdup (name);
--- a/tests/run/test_read_source.sh
+++ b/tests/run/test_read_source.sh
@@ -73,6 +73,18 @@
 	fleet_until all_serve /two/x $VMS
 	fleet_until all_refuse /one/x $VMS
 	echo "a change reaches all"
+	starts=$(cat "$FLEET_DIR"/node?.out | grep -c event=started)
+	store_put servers/odd-nested "$(head -c 100000 /dev/zero | tr '\0' '[')"
+	store_put servers/odd-port "{\"service\":\"shop\",\"address\":\"127.0.0.3:99999\",\"zone\":\"z\",\"slots\":20,\"state\":\"ready\"}"
+	store_put servers/odd-number "{\"service\":\"shop\",\"address\":\"127.0.0.3:80\",\"zone\":\"z\",\"slots\":1e999,\"state\":\"ready\"}"
+	fleet_config 3 /odd/
+	fleet_until all_serve /odd/x $VMS
+	fleet_config 4 /two/
+	fleet_until all_serve /two/x $VMS
+	for odd in nested port number; do
+		curl -s -X POST "http://127.0.0.1:$STORE/remove?key=servers/odd-$odd" >/dev/null
+	done
+	echo "odd entries among those of endpoints: all follow, $(($(cat "$FLEET_DIR"/node?.out | grep -c event=started) - starts)) started again"
 	sleep 6
 	fleet_path store stall
 	curl -s -X POST "http://127.0.0.1:$STORE/remove?key=servers/up-3" >/dev/null
@@ -86,7 +98,7 @@
 	echo "and when it reaches it again"
 	killed=$(reader)
 	fleet_kill "node$killed"
-	fleet_config 3 /three/
+	fleet_config 5 /three/
 	# shellcheck disable=SC2046
 	fleet_until all_serve /three/x $(others "$killed")
 	fleet_until one_reader
@@ -102,7 +114,7 @@
 	echo "the reader is back; lines about what was removed while it was away: $(grep -c 'id=up-9' "$FLEET_DIR/node$killed.out" || true)"
 	paused=$(reader)
 	kill -STOP "$(fleet_pid "node$paused")"
-	fleet_config 4 /four/
+	fleet_config 6 /four/
 	# shellcheck disable=SC2046
 	fleet_until all_serve /four/x $(others "$paused")
 	echo "the reader was paused: a change reaches the others"
@@ -118,7 +130,7 @@
 	echo "the store is down: all serve with what they know"
 	store_command up >/dev/null
 	store_command compact >/dev/null
-	fleet_config 5 /five/
+	fleet_config 7 /five/
 	fleet_until all_serve /five/x $VMS
 	fleet_until one_reader
 	echo "it is back without its history: a change reaches all, one reads"
--- a/tests/unit/test_platform_adapter.cc
+++ b/tests/unit/test_platform_adapter.cc
@@ -3,7 +3,8 @@
 
 extern "C"
 {
-#include "platform/adapter.h"
+#include "internal/task.h"
+#include "platform/feed.h"
 }
 
 // Decodes input from the platform, without a running node.
@@ -178,6 +179,145 @@
     EXPECT_EQ (entry_is_usable (each.key, each.text), each.usable) << each.name;
 }
 
+// An entry of a good endpoint with one more field, or another value.
+static std::string
+entry_text (const std::string &more,
+            const std::string &address = "10.0.0.1:80",
+            const std::string &slots = "4")
+{
+  return R"({"service":"s","address":")" + address + R"(","zone":"z1","slots":)"
+         + slots + more + R"(,"state":"ready"})";
+}
+
+static std::string
+nested (size_t depth, const char *open, const char *close)
+{
+  std::string text;
+
+  for (size_t i = 0; i < depth; i++)
+    text += open;
+  text += "1";
+  for (size_t i = 0; i < depth; i++)
+    text += close;
+  return text;
+}
+
+// Guards against a process that ends because another writer left an odd entry
+// among those of the endpoints.
+TEST_F (adapter_test, OddEntriesYieldNoEndpoint)
+{
+  const struct
+  {
+    const char *name;
+    std::string text;
+    bool usable;
+  } cases[] = {
+    { "good", entry_text (""), true },
+    { "nested a little", entry_text (",\"x\":" + nested (20, "[", "]")), true },
+    { "nested arrays", entry_text (",\"x\":" + nested (300000, "[", "]")),
+      false },
+    { "nested objects",
+      entry_text (",\"x\":" + nested (150000, "{\"a\":", "}")), false },
+    { "only opened", std::string (900000, '['), false },
+    { "brackets in a text",
+      entry_text (",\"x\":\"" + std::string (500, '[') + "\\\""
+                  + std::string (500, '{') + "\""),
+      true },
+    { "port too large", entry_text ("", "10.0.0.1:65536"), false },
+    { "port far too large", entry_text ("", "10.0.0.1:99999999999999999999"),
+      false },
+    { "port 0", entry_text ("", "10.0.0.1:0"), false },
+    { "negative port", entry_text ("", "10.0.0.1:-80"), false },
+    { "slots too large", entry_text ("", "10.0.0.1:80", "1e400"), false },
+    { "slots of 30 digits",
+      entry_text ("", "10.0.0.1:80", std::string (30, '9')), false },
+    { "negative slots", entry_text ("", "10.0.0.1:80", "-4"), false },
+  };
+
+  for (const auto &each : cases)
+    EXPECT_EQ (entry_is_usable ("servers/a", each.text), each.usable)
+        << each.name;
+}
+
+// Guards against times that overflow.
+TEST_F (adapter_test, NumbersOfAnEntryAreBounded)
+{
+  for (const char *number : { "1e300", "-1e300", "1e400", "-5",
+                              "99999999999999999999", "9223372036854775807" })
+    {
+      std::string text = entry_text (std::string (",\"coldRemainingMs\":")
+                                     + number + ",\"born\":" + number);
+      struct eel_published_item item = {};
+      struct eel_instance instance;
+
+      strcpy (item.key, "servers/a");
+      item.data = reinterpret_cast<uint8_t *> (text.data ());
+      item.bytes = text.size ();
+      item.revision = 5;
+      ASSERT_TRUE (platform_entry_decode (&platform, &item, &instance));
+      EXPECT_LT (instance.cold_until_us,
+                 eel_clock_us () + 24 * 3600 * EEL_US_PER_S)
+          << number;
+      EXPECT_GE (instance.cold_until_us, 0) << number;
+      EXPECT_GE (instance.born_ms, 0) << number;
+    }
+}
+
+// Guards against entries that use up the numbers of services, so that no
+// configuration can be put in force.
+TEST_F (adapter_test, EntriesLeaveRoomForTheServicesOfAConfiguration)
+{
+  for (int i = 0; i < 2000; i++)
+    entry_is_usable ("servers/a",
+                     R"({"service":"odd)" + std::to_string (i)
+                         + R"(","address":"10.0.0.1:80","zone":"z1",)"
+                           R"("slots":4,"state":"ready"})");
+  EXPECT_EQ (routes (config (good_route)), 2);
+}
+
+// Guards against a list of endpoints that is not followed to its end because of
+// one entry, or of one item that is none.
+TEST_F (adapter_test, OddItemsDoNotKeepTheOthersFromBeingApplied)
+{
+  std::vector<struct eel_published_item> items (16);
+  std::vector<struct eel_instance> instances (16);
+  const std::string deep = nested (300000, "[", "]");
+  JsonParser *parser = json_parser_new ();
+  std::string text = "[";
+
+  eel_published_init (&platform.published, items.data (), 16);
+  eel_directory_init (&platform.relay.directory, instances.data (), 16);
+  eel_gate_init (&platform.relay.gate, 1);
+  auto add = [&] (const std::string &key, const std::string &revision,
+                  const std::string &value) {
+    gchar *encoded = g_base64_encode (
+        reinterpret_cast<const guchar *> (value.data ()), value.size ());
+
+    text += (text.size () > 1 ? "," : "") + ("{\"key\":\"" + key)
+            + "\",\"revision\":" + revision + ",\"value\":\"" + encoded + "\"}";
+    g_free (encoded);
+  };
+  add ("servers/first", "5", entry_text (""));
+  add ("servers/odd1", "6", deep);
+  add ("servers/odd2", "7", entry_text ("", "10.0.0.1:99999"));
+  add ("servers/odd3", "8", entry_text ("", "10.0.0.1:80", "1e999"));
+  add ("servers/odd4", "1e300", entry_text (""));
+  add ("servers/odd5", "-1", entry_text (""));
+  add (std::string (500, 'k'), "9", "x");
+  text += ",7,null,[]";
+  add ("servers/last", "10", entry_text (""));
+  text += "]";
+  ASSERT_TRUE (json_parser_load_from_data (parser, text.data (), -1, nullptr));
+  EXPECT_TRUE (items_apply (
+      &platform, json_node_get_array (json_parser_get_root (parser))));
+  EXPECT_NE (eel_directory_find (&platform.relay.directory, "first"), nullptr);
+  EXPECT_NE (eel_directory_find (&platform.relay.directory, "last"), nullptr);
+  EXPECT_EQ (platform.relay.directory.count, 2u);
+  EXPECT_EQ (platform.published.newest, 10u);
+  g_object_unref (parser);
+  eel_published_finish (&platform.published);
+}
+
 // Guards against settings that lack a field and are accepted.
 TEST (PlatformSettings, EachFieldIsRequired)
 {
