Take no copy of an earlier refusal for the answer of a request

What callers saw: reported by operators of similar systems: they were told 'not run, try again' for requests that an endpoint was running (REFUSED), or these ran at a second endpoint (TWICE). It could happen here, twice. Cause: an endpoint that shed a request may be asked again for it under the same id, on the connection that it had kept. A copy of its first refusal on that connection was taken for the second answer. And a refusal without an id was believed on any connection. A refusal without an id counts only as the first answer on its connection, on which it can be no copy; on others it is discarded like any answer without one.

--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -105,8 +105,16 @@
                          attempt->call.route_target_us, &load);
 }
 
-/* Discards an answer with the id of another request, or with none unless it
-   says that the request was not run. */
+/* An answer bears the id of its request; only the first one on a connection can
+   be no copy of an earlier one, and may lack it when it refuses. */
+static int
+may_lack_id (const struct eel_attempt *attempt, int not_run)
+{
+  return attempt->call.request_id == NULL
+         || (not_run && attempt->link != NULL && attempt->link->requests == 1);
+}
+
+/* Discards an answer that may be one of another request. */
 static int
 on_head (void *owner, struct eel_head *head)
 {
@@ -119,7 +127,7 @@
 
   if (!eel_attempt_id_fits (attempt, id))
     return 0;
-  if (id == NULL && attempt->call.request_id != NULL && !not_run)
+  if (id == NULL && !may_lack_id (attempt, not_run))
     {
       g_message ("event=answer_without_id request=%s status=%u",
                  attempt->call.request_id, head->status);
@@ -236,6 +244,16 @@
   return NULL;
 }
 
+/* A request that the endpoint has refused before gets a new connection: on the
+   one before, a copy of the refusal would bear the id of this request too. */
+static int64_t
+longest_idle_us (const struct eel_relay_call *call)
+{
+  if (call->repeated)
+    return -1;
+  return call->idempotent ? IDLE_MAX_IDEMPOTENT_US : IDLE_MAX_NON_IDEMPOTENT_US;
+}
+
 /* Sends the request to the endpoint; the gate has counted its slot. */
 void
 eel_attempt_admitted (struct eel_attempt *attempt)
@@ -261,11 +279,10 @@
   if (head != NULL)
     {
       eel_attempt_write_head (attempt, head, 0);
-      attempt->link = eel_pool_send (
-          &relay->endpoint_pool, &link_ops, attempt, head,
-          strcmp (attempt->call.request->method, "HEAD") == 0,
-          attempt->call.idempotent ? IDLE_MAX_IDEMPOTENT_US
-                                   : IDLE_MAX_NON_IDEMPOTENT_US);
+      attempt->link
+          = eel_pool_send (&relay->endpoint_pool, &link_ops, attempt, head,
+                           strcmp (attempt->call.request->method, "HEAD") == 0,
+                           longest_idle_us (&attempt->call));
       evbuffer_free (head);
     }
   if (attempt->link == NULL)
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -103,6 +103,7 @@
       pool->opened++;
     }
   link->sent_us = now_us;
+  link->requests++;
   eel_link_list_add (link, 0);
   link->ops = ops;
   link->owner = owner;
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -66,6 +66,8 @@
   void *owner;
   int64_t idle_since_us;
   int64_t idle_limit_us;
+  /* Requests sent on this connection, with the present one. */
+  uint32_t requests;
   /* Of the present request; reused_idle_us is how long the connection was idle
      before it, 0 for a new connection. */
   int64_t sent_us;
