Repeat refused requests on another kept connection, not on a new one

Change: a connection remembers the last 16 requests that were refused on it; a request is not sent again where it was refused, and a new connection is opened only where no other one is idle. The field between nodes that marked repeats is gone.

--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -239,10 +239,9 @@
   if (to_peer)
     evbuffer_add_printf (
         out,
-        "%s: %s %" PRIx64 " %u %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64
-        "\r\n",
+        "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64 "\r\n",
         EEL_RELAY_CALL, attempt->relay->names.names[call->service], call->route,
-        call->rank, call->idempotent, call->repeated,
+        call->rank, call->idempotent,
         (call->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision,
         call->request->framing, call->request->length_bytes);
   eel_head_write_framing (attempt->framing, call->request->length_bytes, out);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -66,8 +66,6 @@
   uint16_t service;
   uint8_t rank;
   uint8_t idempotent;
-  /* The endpoint has refused this request before, under the same id. */
-  uint8_t repeated;
   int64_t target_us;
   int64_t deadline_us;
 };
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -136,6 +136,8 @@
   eel_self_report_read (attempt->relay, attempt->call.instance_id, head);
   record_own_load (attempt);
   attempt->is_refusal = (uint8_t)not_run;
+  if (not_run)
+    eel_link_record_refusal (attempt->link, attempt->call.request_id);
   attempt->refusal
       = head->status == 421 ? EEL_FAILURE_MISDIRECTED : EEL_FAILURE_SHED;
   if (head->status == 421)
@@ -244,16 +246,6 @@
   return NULL;
 }
 
-/* A request that the endpoint has refused before gets a new connection: on the
-   one before, a copy of the refusal would bear the id of this request too. */
-static int64_t
-longest_idle_us (const struct eel_relay_call *call)
-{
-  if (call->repeated)
-    return -1;
-  return call->idempotent ? IDLE_MAX_IDEMPOTENT_US : IDLE_MAX_NON_IDEMPOTENT_US;
-}
-
 /* Sends the request to the endpoint; the gate has counted its slot. */
 void
 eel_attempt_admitted (struct eel_attempt *attempt)
@@ -279,10 +271,12 @@
   if (head != NULL)
     {
       eel_attempt_write_head (attempt, head, 0);
-      attempt->link
-          = eel_pool_send (&relay->endpoint_pool, &link_ops, attempt, head,
-                           strcmp (attempt->call.request->method, "HEAD") == 0,
-                           longest_idle_us (&attempt->call));
+      attempt->link = eel_pool_send (
+          &relay->endpoint_pool, &link_ops, attempt, head,
+          strcmp (attempt->call.request->method, "HEAD") == 0,
+          attempt->call.idempotent ? IDLE_MAX_IDEMPOTENT_US
+                                   : IDLE_MAX_NON_IDEMPOTENT_US,
+          attempt->call.request_id);
       evbuffer_free (head);
     }
   if (attempt->link == NULL)
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -232,7 +232,7 @@
       attempt->link
           = eel_pool_send (pool, &link_ops, attempt, head,
                            strcmp (attempt->call.request->method, "HEAD") == 0,
-                           PEER_IDLE_MAX_US);
+                           PEER_IDLE_MAX_US, NULL);
     }
   if (head != NULL)
     evbuffer_free (head);
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -336,7 +336,6 @@
   entry->tried[entry->tried_count++] = instance->id;
   entry->instance = instance;
   entry->call.instance_id = instance->id;
-  entry->call.repeated = (uint8_t)(instance == entry->shed_by);
   eel_attempt_free (entry->attempt);
   entry->attempt = eel_attempt_new (relay, &entry->call, instance,
                                     &eel_entry_attempt_ops, entry);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -189,7 +189,6 @@
   char service[EEL_SERVICE_MAX];
   unsigned rank;
   unsigned idempotent;
-  unsigned repeated;
   long target_ms;
   uint64_t revision;
   unsigned framing;
@@ -197,11 +196,10 @@
   int64_t now_us = eel_clock_us ();
 
   if (fields == NULL || remaining == NULL
-      || sscanf (fields,
-                 "%63s %" SCNx64 " %u %u %u %ld %" SCNu64 " %u %" SCNu64,
-                 service, &call->route, &rank, &idempotent, &repeated,
-                 &target_ms, &revision, &framing, &length_bytes)
-             != 9
+      || sscanf (fields, "%63s %" SCNx64 " %u %u %ld %" SCNu64 " %u %" SCNu64,
+                 service, &call->route, &rank, &idempotent, &target_ms,
+                 &revision, &framing, &length_bytes)
+             != 8
       || framing > EEL_FRAMING_CHUNKED)
     return 0;
   /* Between nodes every body is chunked; the endpoint gets the caller's
@@ -217,7 +215,6 @@
   call->service = eel_service_names_intern (&relay->names, service);
   call->rank = (uint8_t)rank;
   call->idempotent = (uint8_t)(idempotent != 0);
-  call->repeated = (uint8_t)(repeated != 0);
   eel_crash_read (relay, request);
   eel_self_report_read_hint (relay, call->instance_id, request);
   call->target_us = now_us + target_ms * EEL_US_PER_MS;
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "eelgrasslatch/types.h"
 #include "internal/task.h"
@@ -56,23 +57,46 @@
   free_closed (pool);
 }
 
+static uint64_t
+hash_of (const char *id)
+{
+  return id == NULL ? 0 : XXH64 (id, strlen (id), 0);
+}
+
+void
+eel_link_record_refusal (struct eel_link *link, const char *id)
+{
+  link->refused[link->refused_count++ % EEL_LINK_REFUSED_MAX] = hash_of (id);
+}
+
+static int
+has_refused (const struct eel_link *link, uint64_t hash)
+{
+  for (uint32_t i = 0; i < link->refused_count && i < EEL_LINK_REFUSED_MAX; i++)
+    if (link->refused[i] == hash)
+      return 1;
+  return 0;
+}
+
 /* Returns the most recently used idle link that may be reused, or NULL; closes
    links past the idle time that the peer announced. */
 static struct eel_link *
-find_reusable (struct eel_pool *pool, int64_t idle_max_us)
+find_reusable (struct eel_pool *pool, int64_t idle_max_us, uint64_t hash)
 {
   int64_t now_us = eel_clock_us ();
+  struct eel_link *next;
 
-  while (pool->idle != NULL)
+  for (struct eel_link *link = pool->idle; link != NULL; link = next)
     {
-      struct eel_link *link = pool->idle;
       int64_t idle_us = now_us - link->idle_since_us;
 
+      next = link->next;
       if (idle_us > idle_max_us || idle_us > pool->learned_idle_max_us)
         return NULL;
-      if (idle_us <= link->idle_limit_us)
+      if (idle_us > link->idle_limit_us)
+        eel_link_cancel (link);
+      else if (!has_refused (link, hash))
         return link;
-      eel_link_cancel (link);
     }
   return NULL;
 }
@@ -83,10 +107,10 @@
                void *owner,
                struct evbuffer *head,
                int is_head,
-               int64_t idle_max_us)
+               int64_t idle_max_us,
+               const char *id)
 {
-  struct eel_link *link = find_reusable (pool, idle_max_us);
-
+  struct eel_link *link = find_reusable (pool, idle_max_us, hash_of (id));
   int64_t now_us = eel_clock_us ();
 
   if (link != NULL)
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -55,6 +55,8 @@
   uint64_t reused;
 };
 
+#define EEL_LINK_REFUSED_MAX 16
+
 struct eel_link
 {
   struct eel_pool *pool;
@@ -68,6 +70,9 @@
   int64_t idle_limit_us;
   /* Requests sent on this connection, with the present one. */
   uint32_t requests;
+  /* Hashes of the newest requests that were refused on it. */
+  uint64_t refused[EEL_LINK_REFUSED_MAX];
+  uint32_t refused_count;
   /* Of the present request; reused_idle_us is how long the connection was idle
      before it, 0 for a new connection. */
   int64_t sent_us;
@@ -98,15 +103,20 @@
 void eel_pool_finish (struct eel_pool *pool);
 /*
  * Sends a request head (drained from head) on a link that was idle for at most
- * idle_max_us, or on a new one.  is_head: the method is HEAD.  Returns NULL
- * when no link can be opened.
+ * idle_max_us, or on a new one.  is_head: the method is HEAD.  id, which may be
+ * NULL, is that of the request: it is not sent where it was refused before,
+ * since a copy of the refusal could be taken for its answer.  Returns NULL when
+ * no link can be opened.
  */
 struct eel_link *eel_pool_send (struct eel_pool *pool,
                                 const struct eel_link_ops *ops,
                                 void *owner,
                                 struct evbuffer *head,
                                 int is_head,
-                                int64_t idle_max_us);
+                                int64_t idle_max_us,
+                                const char *id);
+/* Records that the request with that id was refused on the link. */
+void eel_link_record_refusal (struct eel_link *link, const char *id);
 /* Reports that the peer closed or reset a connection reused after that idle
    time, without answering. */
 void eel_pool_report_stale (struct eel_pool *pool, int64_t reused_idle_us);
