--- a/tests/fuzz/fuzz_read_source.c
+++ b/tests/fuzz/fuzz_read_source.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "eelgrasslatch/read_source.h"
+#include "eelgrasslatch/registry_view.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/types.h"
 
@@ -23,6 +24,8 @@
 #define FIRST_WAIT_US (EEL_READ_FIRST_WAIT_MS * EEL_US_PER_MS)
 #define REGISTRY_MARGIN_US (EEL_READ_REGISTRY_MARGIN_MS * EEL_US_PER_MS)
 #define PEER_MARGIN_US (EEL_READ_PEER_MARGIN_MS * EEL_US_PER_MS)
+/* Shortest time for a call to a peer. */
+#define SHORTENED_MIN_US (50 * EEL_US_PER_MS)
 #define BATCH_US (EEL_READ_REGISTRY_BATCH_MS * EEL_US_PER_MS)
 /* A configuration has to be in force within this time. */
 #define CHANGE_BOUND_US (2 * EEL_US_PER_S)
@@ -57,12 +60,17 @@
   enum node_state state;
   uint64_t position;
   uint8_t registry_failing;
-  int64_t succeeded_us;
+  /* How new its news are; 0: it has none. */
+  int64_t as_of_us;
   /* The call in flight: its source (-1: none, NODES_MAX: the registry). */
   int32_t calling;
   uint8_t verified;
   int64_t call_until_us;
   int64_t timeout_us;
+  /* The call to a peer ends early, when the news are too old; how new the
+     peer's were when the call came. */
+  uint8_t shortened;
+  int64_t held_as_of_us;
   int64_t next_call_us;
 };
 
@@ -114,7 +122,16 @@
 is_current (const struct run *run, const struct node *node)
 {
   return node->position > 0 && !node->registry_failing
-         && run->now_us - node->succeeded_us < 2 * EEL_US_PER_S;
+         && run->now_us - node->as_of_us < EEL_NEWS_MAX_AGE_US;
+}
+
+static struct eel_read_choice
+next_source (const struct run *run, const struct node *node)
+{
+  int stale = node->as_of_us != 0
+              && run->now_us - node->as_of_us >= EEL_NEWS_MAX_AGE_US;
+
+  return eel_read_source_next (&node->source, stale, run->now_us);
 }
 
 static void
@@ -126,29 +143,42 @@
   if (failed)
     {
       eel_read_source_failed (&node->source, ip,
-                              no_news ? EEL_READ_NO_NEWS : EEL_READ_UNREACHABLE,
+                              no_news || (ip != 0 && node->shortened)
+                                  ? EEL_READ_NO_NEWS
+                                  : EEL_READ_UNREACHABLE,
                               run->now_us, eel_rng_unit (&run->rng));
       node->registry_failing |= ip == 0;
-      node->next_call_us
-          = run->now_us
-            + eel_read_source_next (&node->source, 0, run->now_us).wait_us;
+      node->next_call_us = run->now_us + next_source (run, node).wait_us;
     }
   else
     {
       eel_read_source_succeeded (&node->source, ip);
       node->registry_failing = 0;
-      node->succeeded_us = run->now_us;
+      if (ip == 0)
+        node->as_of_us = run->now_us;
       node->next_call_us = run->now_us + (ip == 0 ? BATCH_US : 2 * STEP_US);
     }
   node->verified = (uint8_t)!failed;
   node->calling = -1;
 }
 
+static void
+bound_peer_call (const struct run *run, struct node *node)
+{
+  int64_t due_us = node->as_of_us + EEL_NEWS_MAX_AGE_US;
+
+  node->held_as_of_us = run->nodes[node->calling].as_of_us;
+  node->shortened = node->as_of_us != 0 && due_us < node->timeout_us;
+  if (node->shortened)
+    node->timeout_us = due_us > run->now_us + SHORTENED_MIN_US
+                           ? due_us
+                           : run->now_us + SHORTENED_MIN_US;
+}
+
 static void
 start_call (struct run *run, struct node *node)
 {
-  struct eel_read_choice choice
-      = eel_read_source_next (&node->source, 0, run->now_us);
+  struct eel_read_choice choice = next_source (run, node);
   int32_t target = choice.peer == NULL ? NODES_MAX : index_of (choice.peer->ip);
   int64_t wait_us = target == NODES_MAX ? REGISTRY_WAIT_US : PEER_WAIT_US;
 
@@ -164,6 +194,9 @@
   node->timeout_us
       = node->call_until_us
         + (target == NODES_MAX ? REGISTRY_MARGIN_US : PEER_MARGIN_US);
+  node->shortened = 0;
+  if (target != NODES_MAX)
+    bound_peer_call (run, node);
   run->calls += target == NODES_MAX;
 }
 
@@ -198,11 +231,16 @@
     }
   else if (!is_current (run, peer))
     finish_call (run, node, 1, 1);
+  else if (run->now_us >= node->timeout_us)
+    finish_call (run, node, 1, 0);
   else if (peer->position > node->position
+           || peer->as_of_us > node->held_as_of_us
            || run->now_us >= node->call_until_us)
     {
       if (peer->position > node->position)
         node->position = peer->position;
+      if (peer->as_of_us > node->as_of_us)
+        node->as_of_us = peer->as_of_us;
       finish_call (run, node, 0, 0);
     }
 }
