--- /dev/null
+++ b/src/relay/load.c
@@ -0,0 +1,51 @@
+#include "internal/task.h"
+#include "relay/relay.h"
+
+/* The load that a node reports of its endpoint, and what others report. */
+
+/* Use that a stopping node reports. */
+#define STOPPING_USE_MILLI 1500
+
+void
+eel_relay_own_load (struct eel_relay *relay,
+                    uint64_t route,
+                    struct eel_relay_load *load)
+{
+  int64_t now_us = eel_clock_us ();
+
+  load->endpoint.use_milli = eel_gate_use_milli (&relay->gate, now_us);
+  /* A stopping node reports a high load, so until it refuses requests it gets
+     only those that find no room elsewhere. */
+  if (relay->stopping && load->endpoint.use_milli < STOPPING_USE_MILLI)
+    load->endpoint.use_milli = STOPPING_USE_MILLI;
+  load->wait_us = eel_gate_wait_us (&relay->gate, now_us);
+  load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
+      &relay->entry_gate, &relay->call_costs, route, now_us);
+  load->revision = relay->revision;
+  load->endpoint.fault_milli
+      = eel_fault_rate_milli (&relay->fault_rate, now_us);
+  load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
+  load->endpoint.has_limit = (uint8_t)(relay->gate.rate.per_s >= 0);
+  load->endpoint.limit_milli = load->endpoint.has_limit
+                                   ? (uint64_t)(relay->gate.rate.per_s * 1000)
+                                   : 0;
+}
+
+/* Records the greater of the pressure at the service (expected wait relative to
+   the target) and that at the services that it calls. */
+void
+eel_relay_record_load (struct eel_relay *relay,
+                       uint64_t route,
+                       int64_t target_us,
+                       const struct eel_relay_load *load)
+{
+  double pressure = load->callee_pressure_milli;
+
+  if (target_us > 0
+      && (double)load->wait_us * 1000 / (double)target_us > pressure)
+    pressure = (double)load->wait_us * 1000 / (double)target_us;
+  eel_entry_gate_report_pressure (&relay->entry_gate, route, pressure,
+                                  eel_clock_us ());
+  if (load->revision > relay->peer_revision)
+    relay->peer_revision = load->revision;
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -2,7 +2,6 @@
 
 #include <event2/event.h>
 #include <inttypes.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -15,8 +14,6 @@
 /* Slots of this node's endpoint until the directory lists it. */
 #define INITIAL_SLOTS 16
 #define TICK_US (100 * EEL_US_PER_MS)
-/* Use that a stopping node reports. */
-#define STOPPING_USE_MILLI 1500
 /* Added to the limit on heads for the fields that nodes add. */
 #define PEER_HEAD_EXTRA_BYTES 4096
 /* Longer than peers keep an idle link. */
@@ -349,50 +346,6 @@
   return pool;
 }
 
-void
-eel_relay_own_load (struct eel_relay *relay,
-                    uint64_t route,
-                    struct eel_relay_load *load)
-{
-  int64_t now_us = eel_clock_us ();
-
-  load->endpoint.use_milli = eel_gate_use_milli (&relay->gate, now_us);
-  /* A stopping node reports a high load, so until it refuses requests it gets
-     only those that find no room elsewhere. */
-  if (relay->stopping && load->endpoint.use_milli < STOPPING_USE_MILLI)
-    load->endpoint.use_milli = STOPPING_USE_MILLI;
-  load->wait_us = eel_gate_wait_us (&relay->gate, now_us);
-  load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
-      &relay->entry_gate, &relay->call_costs, route, now_us);
-  load->revision = relay->revision;
-  load->endpoint.fault_milli
-      = eel_fault_rate_milli (&relay->fault_rate, now_us);
-  load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
-  load->endpoint.has_limit = (uint8_t)(relay->gate.rate.per_s >= 0);
-  load->endpoint.limit_milli = load->endpoint.has_limit
-                                   ? (uint64_t)(relay->gate.rate.per_s * 1000)
-                                   : 0;
-}
-
-/* Records the greater of the pressure at the service (expected wait relative to
-   the target) and that at the services that it calls. */
-void
-eel_relay_record_load (struct eel_relay *relay,
-                       uint64_t route,
-                       int64_t target_us,
-                       const struct eel_relay_load *load)
-{
-  double pressure = load->callee_pressure_milli;
-
-  if (target_us > 0
-      && (double)load->wait_us * 1000 / (double)target_us > pressure)
-    pressure = (double)load->wait_us * 1000 / (double)target_us;
-  eel_entry_gate_report_pressure (&relay->entry_gate, route, pressure,
-                                  eel_clock_us ());
-  if (load->revision > relay->peer_revision)
-    relay->peer_revision = load->revision;
-}
-
 static void
 schedule_start (struct eel_relay *relay)
 {
--- a/tests/fuzz/fuzz_drain.c
+++ b/tests/fuzz/fuzz_drain.c
@@ -1,9 +1,9 @@
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "tests/fuzz/drain_world.h"
+#include "tests/fuzz/options.h"
 
 /*
  * The users' rule on leaving endpoints, over the whole path in virtual time: no
@@ -298,15 +298,6 @@
   run->count = kept;
 }
 
-static uint64_t
-parse_option (int argc, char **argv, const char *name, uint64_t fallback)
-{
-  for (int i = 1; i + 1 < argc; i++)
-    if (strcmp (argv[i], name) == 0)
-      return strtoull (argv[i + 1], NULL, 10);
-  return fallback;
-}
-
 /* Plays one world; returns the step of the first violation, or steps. */
 static uint64_t
 play (struct run *run, uint64_t seed, uint64_t steps)
@@ -334,8 +325,8 @@
 main (int argc, char **argv)
 {
   static struct run run;
-  uint64_t seed = parse_option (argc, argv, "--seed", 1);
-  uint64_t steps = parse_option (argc, argv, "--steps", 50000);
+  uint64_t seed = fuzz_option (argc, argv, "--seed", 1);
+  uint64_t steps = fuzz_option (argc, argv, "--steps", 50000);
   struct totals totals = { 0 };
 
   for (uint64_t world = 0; world < WORLDS && run.failure == NULL; world++)
--- a/tests/fuzz/fuzz_read_source.c
+++ b/tests/fuzz/fuzz_read_source.c
@@ -1,6 +1,5 @@
 #include <inttypes.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 
@@ -8,6 +7,7 @@
 #include "eelgrasslatch/registry_view.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/types.h"
+#include "tests/fuzz/options.h"
 
 /*
  * Nodes of one failure domain that read a registry over each other, in virtual
@@ -365,21 +365,12 @@
     run->failure = "too many calls to the registry without faults";
 }
 
-static uint64_t
-parse_option (int argc, char **argv, const char *name, uint64_t fallback)
-{
-  for (int i = 1; i + 1 < argc; i++)
-    if (strcmp (argv[i], name) == 0)
-      return strtoull (argv[i + 1], NULL, 10);
-  return fallback;
-}
-
 int
 main (int argc, char **argv)
 {
   static struct run run;
-  uint64_t seed = parse_option (argc, argv, "--seed", 1);
-  uint64_t steps = parse_option (argc, argv, "--steps", 50000);
+  uint64_t seed = fuzz_option (argc, argv, "--seed", 1);
+  uint64_t steps = fuzz_option (argc, argv, "--steps", 50000);
 
   eel_rng_init (&run.rng, seed);
   run.count = 2 + eel_rng_below (&run.rng, NODES_MAX - 1);
