--- a/src/membership/registry_view.c
+++ b/src/membership/registry_view.c
@@ -90,6 +90,7 @@
     view->as_of_us = as_of_us;
 }
 
+/* An outage that only this VM saw is not told to others: they had news. */
 void
 eel_registry_view_read_registry (struct eel_registry_view *view, int64_t now_us)
 {
--- a/src/relay/self_report.c
+++ b/src/relay/self_report.c
@@ -1,9 +1,7 @@
 #include "relay/self_report.h"
 
 #include <event2/buffer.h>
-#include <inttypes.h>
 #include <math.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "internal/task.h"
