--- a/review/5/case.c
+++ b/review/5/case.c
@@ -10,9 +10,10 @@
 #include <unistd.h>
 
 /*
- * Clients place an order on a kept connection and read the answer slowly: they
- * begin after 4.6 s of the 6 s that they have.  The order has run, but the node
- * has reset the connection by then, and the answer is lost.
+ * Clients place an order on a kept connection and read the answer slowly: 100
+ * bytes each half second for 5 s of the 6 s that they have, then the rest.
+ * The order has run, but the node resets the connection while they read, and
+ * the answer is lost.
  */
 
 #define CLIENTS 10
@@ -21,7 +22,9 @@
 /* Largest answer and time limit of reserva-armado. */
 #define ANSWER_BYTES 30000
 #define LIMIT_MS 6000
-#define READ_AFTER_S 4.6
+#define SLOW_FOR_S 5.0
+#define SLOW_PAUSE_S 0.5
+#define SLOW_BYTES 100
 /* A small window, so that most of the answer waits at the node. */
 #define WINDOW_BYTES 2048
 /* More than this break the rule. */
@@ -68,6 +71,21 @@
   return -1;
 }
 
+/* Reads a little at a time; keeps what it read for the answer. */
+static void
+read_slowly (struct lab_conn *conn, double until_s)
+{
+  while (lab_now () < until_s)
+    {
+      ssize_t got;
+
+      lab_sleep (SLOW_PAUSE_S);
+      got = recv (conn->fd, conn->data + conn->end, SLOW_BYTES, MSG_DONTWAIT);
+      if (got > 0)
+        conn->end += (size_t)got;
+    }
+}
+
 static void *
 client (void *data)
 {
@@ -77,6 +95,7 @@
   struct lab_reply reply;
   int fd = connect_small (vm);
   int complete;
+  double sent_s;
 
   lab_conn_init (conn, fd);
   lab_sendf (fd,
@@ -90,13 +109,15 @@
              "X-Attempt-Id: order%d\r\nX-Deadline-Remaining-Ms: %d\r\n"
              "Content-Length: 5\r\n\r\nboxes",
              number, number, LIMIT_MS);
+  sent_s = lab_now ();
   lab_record ("order%d sent to vm=%d on a kept connection", number, vm);
   if (lab_trouble)
-    lab_sleep (READ_AFTER_S);
-  complete = lab_reply_read (
-      conn, &reply, LIMIT_MS / 1000.0 - (lab_trouble ? READ_AFTER_S : 0));
-  lab_record ("order%d read: status=%d complete=%d runs=%d", number,
-              reply.status, complete, atomic_load (&runs[number]));
+    read_slowly (conn, sent_s + SLOW_FOR_S);
+  complete
+      = lab_reply_read (conn, &reply, sent_s + LIMIT_MS / 1000.0 - lab_now ());
+  lab_record ("order%d after %.2f s: status=%d bytes=%zu complete=%d runs=%d",
+              number, lab_now () - sent_s, reply.status, reply.bytes, complete,
+              atomic_load (&runs[number]));
   if (!complete && atomic_load (&runs[number]) > 0)
     atomic_fetch_add (&lost, 1);
   if (complete && reply.status != 200)
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -1099,9 +1099,9 @@
 
       if (got <= 0)
         return left < 0;
-      for (long i = 0; i < got && reply->bytes + 1 < sizeof reply->body; i++)
-        reply->body[reply->bytes++] = data[i];
-      reply->body[reply->bytes] = 0;
+      for (long i = 0; i < got; i++, reply->bytes++)
+        if (reply->bytes + 1 < sizeof reply->body)
+          reply->body[reply->bytes] = data[i];
       if (left > 0)
         left -= got;
     }
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -121,6 +121,7 @@
   int closes;
   /* The whole answer came. */
   int complete;
+  /* Its first bytes; the count is that of all. */
   char body[4096];
   size_t bytes;
 };
