--- a/review/5/case.c
+++ b/review/5/case.c
@@ -102,8 +102,11 @@
              "GET /kit/x HTTP/1.1\r\nHost: shop.example\r\n"
              "X-Attempt-Id: look%d\r\nX-Deadline-Remaining-Ms: %d\r\n\r\n",
              number, LIMIT_MS);
+  lab_record ("look%d sent to vm=%d", number, vm);
   if (!lab_reply_read (conn, &reply, 6) || reply.status != 200 || reply.closes)
     atomic_fetch_add (&failed, 1);
+  lab_record ("look%d: status=%d complete=%d", number, reply.status,
+              reply.complete);
   lab_sendf (fd,
              "POST /order/%d HTTP/1.1\r\nHost: shop.example\r\n"
              "X-Attempt-Id: order%d\r\nX-Deadline-Remaining-Ms: %d\r\n"
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -833,8 +833,12 @@
                              "X-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n",
                              request.id, endpoint->id);
       else
-        keep = endpoint->serve (endpoint, conn, &request) == 0
-               && drain_body (conn, &request);
+        {
+          lab_record ("endpoint %s runs %s: %s %s", endpoint->id, request.id,
+                      request.method, request.target);
+          keep = endpoint->serve (endpoint, conn, &request) == 0
+                 && drain_body (conn, &request);
+        }
     }
   pthread_mutex_lock (&endpoint_lock);
   forget_fd (endpoint, conn->fd);
@@ -1189,11 +1193,14 @@
     return 0;
   conn = malloc (sizeof *conn);
   lab_conn_init (conn, fd);
+  lab_record ("client sends %s to vm=%d: %s %s", id, vm, method, target);
   if (lab_sendf (fd,
                  "%s %s HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: %s\r\n"
                  "X-Deadline-Remaining-Ms: %ld\r\n\r\n",
                  method, target, id, remaining_ms))
     complete = lab_reply_read (conn, reply, (double)remaining_ms / 1000 + 1);
+  lab_record ("client gets for %s: status=%d complete=%d", id, reply->status,
+              complete);
   close (fd);
   free (conn);
   return complete;
