Split a route among any number of services

Callers saw: after the operator split a route among nine services, every node went on with the previous configuration. Dropped routes were still served, added ones answered 404, and no later version took effect either.

Cause: struct eel_route held its parts in an array of 8. decode_parts refused a longer list, and one refused route refuses the configuration. Nothing in the users' pages bounds the number of parts.

Change: a route owns an array of as many parts as it has.

Evidence: with the old code RouteTable decodes none of the configurations with 9, 24 or 400 parts (SplitAmongAnyNumberOfServicesIsInForce failed for these three and held for 1, 7 and 8).

--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -13,7 +13,6 @@
  */
 
 #define EEL_SERVICE_NAMES_MAX 512
-#define EEL_ROUTE_PARTS_MAX 8
 #define EEL_NO_SERVICE UINT16_MAX
 
 struct eel_service_names
@@ -53,8 +52,8 @@
   uint8_t rank;
   int64_t timeout_us;
   int64_t target_us;
-  struct eel_route_part parts[EEL_ROUTE_PARTS_MAX];
-  uint8_t part_count;
+  struct eel_route_part *parts;
+  uint32_t part_count;
 };
 
 struct eel_route_table
@@ -67,7 +66,7 @@
 
 void eel_route_table_init (struct eel_route_table *table, uint64_t version);
 void eel_route_table_finish (struct eel_route_table *table);
-/* Copies host and prefix of route; 0 when a field is out of range. */
+/* Copies host, prefix and parts of route; 0 when a field is out of range. */
 int eel_route_table_add (struct eel_route_table *table,
                          const struct eel_route *route);
 /* Call after the last add and before the first find. */
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -51,14 +51,19 @@
   *table = (struct eel_route_table){ .version = version };
 }
 
+static void
+route_free (struct eel_route *route)
+{
+  free (route->host);
+  free (route->prefix);
+  free (route->parts);
+}
+
 void
 eel_route_table_finish (struct eel_route_table *table)
 {
   for (uint32_t i = 0; i < table->count; i++)
-    {
-      free (table->routes[i].host);
-      free (table->routes[i].prefix);
-    }
+    route_free (&table->routes[i]);
   free (table->routes);
   *table = (struct eel_route_table){ 0 };
 }
@@ -68,9 +73,7 @@
 {
   uint64_t weight = 0;
 
-  if (route->part_count == 0 || route->part_count > EEL_ROUTE_PARTS_MAX)
-    return 0;
-  for (uint8_t i = 0; i < route->part_count; i++)
+  for (uint32_t i = 0; i < route->part_count; i++)
     {
       if (route->parts[i].service == EEL_NO_SERVICE)
         return 0;
@@ -104,12 +107,13 @@
   *copy = *route;
   copy->host = strdup (route->host);
   copy->prefix = strdup (route->prefix);
-  if (copy->host == NULL || copy->prefix == NULL)
+  copy->parts = calloc (route->part_count, sizeof *copy->parts);
+  if (copy->host == NULL || copy->prefix == NULL || copy->parts == NULL)
     {
-      free (copy->host);
-      free (copy->prefix);
+      route_free (copy);
       return 0;
     }
+  memcpy (copy->parts, route->parts, route->part_count * sizeof *copy->parts);
   copy->prefix_bytes = (uint32_t)strlen (copy->prefix);
   copy->id = eel_hash64 (copy->prefix, copy->prefix_bytes,
                          eel_hash64 (copy->host, strlen (copy->host), 0));
@@ -138,7 +142,7 @@
   if (table->count > 0)
     qsort (table->routes, table->count, sizeof *table->routes, compare_routes);
   for (uint32_t i = 0; i < table->count; i++)
-    for (uint8_t j = 0; j < table->routes[i].part_count; j++)
+    for (uint32_t j = 0; j < table->routes[i].part_count; j++)
       {
         struct eel_route_part *part = &table->routes[i].parts[j];
 
@@ -207,7 +211,7 @@
   struct eel_route_part *best = &route->parts[0];
   int64_t total = 0;
 
-  for (uint8_t i = 0; i < route->part_count; i++)
+  for (uint32_t i = 0; i < route->part_count; i++)
     {
       struct eel_route_part *part = &route->parts[i];
 
--- /dev/null
+++ b/tests/unit/test_platform_config.cc
@@ -0,0 +1,59 @@
+#include <map>
+
+#include "adapter_fixture.h"
+
+// A route that is split among services with these weights.
+static std::string
+split_route (const std::vector<std::string> &weights)
+{
+  std::string text
+      = R"({"host":"a.example","prefix":"/split/","kind":"safe",)"
+        R"("timeoutMs":100,"targetLatencyMs":50,"priority":1,"attempts":2,)"
+        R"("trafficSplit":[)";
+
+  for (size_t i = 0; i < weights.size (); i++)
+    text += (i == 0 ? "" : ",") + (R"({"service":"part)" + std::to_string (i))
+            + R"(","weight":)" + weights[i] + "}";
+  return text + "]}";
+}
+
+// Requests of the split route that go to each service, or none when the
+// configuration is rejected.
+static std::map<std::string, int>
+requests_of_parts (struct platform *platform,
+                   const std::string &route,
+                   int requests)
+{
+  std::string text = config (route);
+  struct eel_server_limits limits;
+  struct eel_route_table *table
+      = platform_config_decode (platform, text.data (), text.size (), &limits);
+  std::map<std::string, int> counts;
+  struct eel_route *found;
+
+  if (table == nullptr)
+    return counts;
+  found = eel_route_table_find (table, "a.example", "/split/x");
+  for (int i = 0; found != nullptr && i < requests; i++)
+    counts[platform->relay.names.names[eel_route_pick_service (found)]]++;
+  eel_route_table_finish (table);
+  free (table);
+  return counts;
+}
+
+// Guards against a configuration that is never in force because a route is
+// split among more services than a fixed number.
+TEST_F (adapter_test, SplitAmongAnyNumberOfServicesIsInForce)
+{
+  for (size_t parts : { 1, 7, 8, 9, 24, 400 })
+    {
+      const std::string route
+          = split_route (std::vector<std::string> (parts, "10"));
+      std::map<std::string, int> counts
+          = requests_of_parts (&platform, route, (int)parts * 10);
+
+      EXPECT_EQ (counts.size (), parts);
+      for (const auto &each : counts)
+        EXPECT_NEAR (each.second, 10, 1) << parts << " " << each.first;
+    }
+}
