Keep fractions in the weights of a split

Callers saw: with weights such as 0.5 and 0.5 the configuration was never in force, nor any later one with that route; with 90.5 and 9.5 requests were shared as by 90 and 9.

Cause: decode_parts cut each weight to an integer and refused those above 2^32; a sum of 0 then made the route invalid.

Change: weights are doubles. Sealing a table scales them by the largest weight of their route, so that their sum stays finite and exact enough.

Evidence: WeightsMayBeFractions failed in all its eight cases with the old code and passes with this change. WeightsOutOfRangeAreRejected held before and holds now. RouteTable.SplitsByWeight is unchanged.

--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -34,9 +34,10 @@
 struct eel_route_part
 {
   uint16_t service;
-  uint32_t weight;
+  /* In a sealed table a share of the largest weight of the route. */
+  double weight;
   /* State of the smooth weighted round robin. */
-  int64_t current_weight;
+  double current_weight;
 };
 
 struct eel_route
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -1,5 +1,6 @@
 #include "eelgrasslatch/route_table.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -68,19 +69,32 @@
   *table = (struct eel_route_table){ 0 };
 }
 
+static double
+largest_weight (const struct eel_route *route)
+{
+  double largest = 0;
+
+  for (uint32_t i = 0; i < route->part_count; i++)
+    if (route->parts[i].weight > largest)
+      largest = route->parts[i].weight;
+  return largest;
+}
+
 static int
 route_is_valid (const struct eel_route *route)
 {
-  uint64_t weight = 0;
+  double largest = largest_weight (route);
 
   for (uint32_t i = 0; i < route->part_count; i++)
     {
-      if (route->parts[i].service == EEL_NO_SERVICE)
+      const struct eel_route_part *part = &route->parts[i];
+
+      if (part->service == EEL_NO_SERVICE || !(part->weight >= 0))
         return 0;
-      weight += route->parts[i].weight;
     }
-  return weight > 0 && route->host[0] != 0 && route->prefix[0] == '/'
-         && route->attempts > 0 && route->timeout_us > 0;
+  return largest > 0 && isfinite (largest) && route->host[0] != 0
+         && route->prefix[0] == '/' && route->attempts > 0
+         && route->timeout_us > 0;
 }
 
 /* Returns 0 when the route is invalid or memory is exhausted. */
@@ -135,19 +149,30 @@
          - (left->prefix_bytes > right->prefix_bytes);
 }
 
-/* Sorts the routes and starts the round robin of each split at random. */
+/* Scales the weights, so that their sum is exact enough and finite, and starts
+   the round robin at random. */
+static void
+seal_split (struct eel_route *route, struct eel_rng *rng)
+{
+  double largest = largest_weight (route);
+
+  for (uint32_t i = 0; i < route->part_count; i++)
+    {
+      struct eel_route_part *part = &route->parts[i];
+
+      part->weight /= largest;
+      part->current_weight = eel_rng_unit (rng) * part->weight;
+    }
+}
+
+/* Sorts the routes and prepares their splits. */
 void
 eel_route_table_seal (struct eel_route_table *table, struct eel_rng *rng)
 {
   if (table->count > 0)
     qsort (table->routes, table->count, sizeof *table->routes, compare_routes);
   for (uint32_t i = 0; i < table->count; i++)
-    for (uint32_t j = 0; j < table->routes[i].part_count; j++)
-      {
-        struct eel_route_part *part = &table->routes[i].parts[j];
-
-        part->current_weight = eel_rng_below (rng, part->weight + 1);
-      }
+    seal_split (&table->routes[i], rng);
 }
 
 /* Compares a route's host with the first bytes of a Host field. */
@@ -209,7 +234,7 @@
 eel_route_pick_service (struct eel_route *route)
 {
   struct eel_route_part *best = &route->parts[0];
-  int64_t total = 0;
+  double total = 0;
 
   for (uint32_t i = 0; i < route->part_count; i++)
     {
--- a/tests/unit/test_platform_config.cc
+++ b/tests/unit/test_platform_config.cc
@@ -57,3 +57,44 @@
         EXPECT_NEAR (each.second, 10, 1) << parts << " " << each.first;
     }
 }
+
+// Guards against a configuration that is never in force, or shares other than
+// the weights, because the weights are fractions or of unusual size.
+TEST_F (adapter_test, WeightsMayBeFractions)
+{
+  const struct
+  {
+    std::vector<std::string> weights;
+    std::vector<double> shares;
+  } cases[] = {
+    { { "0.5", "0.5" }, { 0.5, 0.5 } },
+    { { "0.25", "0.75" }, { 0.25, 0.75 } },
+    { { "90.5", "9.5" }, { 0.905, 0.095 } },
+    { { "1e-9", "3e-9" }, { 0.25, 0.75 } },
+    { { "1e300", "1e300" }, { 0.5, 0.5 } },
+    { { "1e308", "1e308", "0" }, { 0.5, 0.5, 0 } },
+    { { "5000000000", "15000000000" }, { 0.25, 0.75 } },
+    { std::vector<std::string> (9, "0.1"), std::vector<double> (9, 1.0 / 9) },
+  };
+
+  for (const auto &each : cases)
+    {
+      std::map<std::string, int> counts
+          = requests_of_parts (&platform, split_route (each.weights), 2000);
+
+      for (size_t i = 0; i < each.shares.size (); i++)
+        EXPECT_NEAR (counts["part" + std::to_string (i)], 2000 * each.shares[i],
+                     2)
+            << each.weights[0] << " part " << i;
+    }
+}
+
+// Guards against weights that no share follows from.
+TEST_F (adapter_test, WeightsOutOfRangeAreRejected)
+{
+  for (const char *weight : { "-1", "-0.001", "1e400", "\"1\"", "null" })
+    EXPECT_EQ (requests_of_parts (&platform, split_route ({ "1", weight }), 10)
+                   .size (),
+               0u)
+        << weight;
+}
