Let an invalid route leave the rest of a configuration in force

A log line without the route's name was the only sign.

Cause: platform_config_decode dropped the whole configuration at the first invalid route.

Change: such a route is entered in the table as one that serves nothing. Its requests get 503 with Retry-After, not 404 and not the service of a shorter prefix, which no configuration allows.

--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -54,6 +54,7 @@
   int64_t timeout_us;
   int64_t target_us;
   struct eel_route_part *parts;
+  /* 0: requests match the route, and none can be served. */
   uint32_t part_count;
 };
 
@@ -70,6 +71,11 @@
 /* Copies host, prefix and parts of route; 0 when a field is out of range. */
 int eel_route_table_add (struct eel_route_table *table,
                          const struct eel_route *route);
+/* Adds a route whose requests match it and can't be served, so that no other
+   route gets them; 0 when host or prefix is out of range. */
+int eel_route_table_add_unserved (struct eel_route_table *table,
+                                  const char *host,
+                                  const char *prefix);
 /* Call after the last add and before the first find. */
 void eel_route_table_seal (struct eel_route_table *table, struct eel_rng *rng);
 /* host may hold a port and target a query.  NULL: no route matches. */
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -153,7 +153,9 @@
                                 eel_head_target (&exchange->request));
   if (route == NULL)
     eel_entry_refuse (exchange, EEL_ERROR_NOT_FOUND, 0);
-  return route;
+  else if (route->part_count == 0)
+    eel_entry_refuse (exchange, EEL_ERROR_NO_ENDPOINT, DEFAULT_RETRY_AFTER_US);
+  return route != NULL && route->part_count > 0 ? route : NULL;
 }
 
 /* Offers the request to an endpoint unless requests of its content crash them.
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -92,20 +92,14 @@
       if (part->service == EEL_NO_SERVICE || !(part->weight >= 0))
         return 0;
     }
-  return largest > 0 && isfinite (largest) && route->host[0] != 0
-         && route->prefix[0] == '/' && route->attempts > 0
+  return largest > 0 && isfinite (largest) && route->attempts > 0
          && route->timeout_us > 0;
 }
 
-/* Returns 0 when the route is invalid or memory is exhausted. */
-int
-eel_route_table_add (struct eel_route_table *table,
-                     const struct eel_route *route)
+/* Returns a cleared route at the end of the table, or NULL. */
+static struct eel_route *
+next_route (struct eel_route_table *table)
 {
-  struct eel_route *copy;
-
-  if (!route_is_valid (route))
-    return 0;
   if (table->count == table->capacity)
     {
       uint32_t capacity = table->capacity == 0 ? 64 : table->capacity * 2;
@@ -113,21 +107,35 @@
           = realloc (table->routes, capacity * sizeof *routes);
 
       if (routes == NULL)
-        return 0;
+        return NULL;
       table->routes = routes;
       table->capacity = capacity;
     }
-  copy = &table->routes[table->count];
+  memset (&table->routes[table->count], 0, sizeof *table->routes);
+  return &table->routes[table->count];
+}
+
+/* Copies a route whose parts are valid or absent. */
+static int
+add_copy (struct eel_route_table *table, const struct eel_route *route)
+{
+  struct eel_route *copy = NULL;
+
+  if (route->host[0] != 0 && route->prefix[0] == '/')
+    copy = next_route (table);
+  if (copy == NULL)
+    return 0;
   *copy = *route;
   copy->host = strdup (route->host);
   copy->prefix = strdup (route->prefix);
-  copy->parts = calloc (route->part_count, sizeof *copy->parts);
+  copy->parts = calloc (route->part_count + 1, sizeof *copy->parts);
   if (copy->host == NULL || copy->prefix == NULL || copy->parts == NULL)
     {
       route_free (copy);
       return 0;
     }
-  memcpy (copy->parts, route->parts, route->part_count * sizeof *copy->parts);
+  if (route->part_count > 0)
+    memcpy (copy->parts, route->parts, route->part_count * sizeof *copy->parts);
   copy->prefix_bytes = (uint32_t)strlen (copy->prefix);
   copy->id = eel_hash64 (copy->prefix, copy->prefix_bytes,
                          eel_hash64 (copy->host, strlen (copy->host), 0));
@@ -135,6 +143,25 @@
   return 1;
 }
 
+/* Returns 0 when the route is invalid or memory is exhausted. */
+int
+eel_route_table_add (struct eel_route_table *table,
+                     const struct eel_route *route)
+{
+  return route_is_valid (route) && add_copy (table, route);
+}
+
+int
+eel_route_table_add_unserved (struct eel_route_table *table,
+                              const char *host,
+                              const char *prefix)
+{
+  const struct eel_route route
+      = { .host = (char *)host, .prefix = (char *)prefix };
+
+  return add_copy (table, &route);
+}
+
 /* Orders by host, then by falling length of the prefix. */
 static int
 compare_routes (const void *a, const void *b)
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -316,6 +316,7 @@
       route.idempotent = 0;
       route.rank = 0;
       eel_route_table_add (table, &route);
+      eel_route_table_add_unserved (table, "shop.example", "/safe/unserved/");
       eel_route_table_seal (table, &node->relay.rng);
       eel_relay_set_routes (&node->relay, table, &limits);
     }
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -74,7 +74,8 @@
                          const std::string &id,
                          uint32_t slots = 10,
                          bool ready = true);
-  // Sets the routes /safe/ (idempotent) and /once/ (not idempotent).
+  // Sets the routes /safe/ (idempotent), /once/ (not idempotent) and
+  // /safe/unserved/, which is invalid.
   void set_routes (uint32_t timeout_ms = 2000);
   bool run_until (const std::function<bool ()> &done, int64_t limit_ms = 8000);
   void run_ms (int64_t ms);
