Bound the names of services by memory and give unused ones back

Callers saw: once a node had seen 512 names of services over its life, no configuration with a new name came into force on it. Endpoints of a service whose name came after 256 names of other writers' entries were ignored, and stayed so when a configuration named the service: its routes had no endpoint there.

Cause: names were numbered in a table of 512, half of it for entries, and never given back.

Change: eel_service_names grows as it must and finds names by hash. The relay's tick collects it once half of the names may be out of use: those of its own service, of the routes in force, of known endpoints and of requests that entered here stay, so that no request meets a number with another name. The retry share of a service is made with its first request and goes with its number. A node no longer numbers the names that peers send.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -47,7 +47,7 @@
 struct eel_instance
 {
   char id[EEL_INSTANCE_ID_MAX];
-  uint16_t service;
+  uint32_t service;
   enum eel_instance_state state;
   uint64_t revision;
   /* IPv4 in network order; port in host order. */
@@ -125,7 +125,7 @@
                                          const char *id);
 /* Endpoint of a service at an address, for the node on the same VM, or NULL. */
 struct eel_instance *eel_directory_find_by_address (
-    struct eel_directory *directory, uint32_t ip, uint16_t service);
+    struct eel_directory *directory, uint32_t ip, uint32_t service);
 /* True while the registry counts the endpoint as in service. */
 int eel_instance_listed (const struct eel_instance *instance);
 /* True for endpoints that may receive requests. */
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -24,7 +24,7 @@
 
 struct eel_place_query
 {
-  uint16_t service;
+  uint32_t service;
   /* Ids of the endpoints that this request has tried. */
   const char *const *tried;
   uint32_t tried_count;
--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -5,35 +5,18 @@
 #include <stdint.h>
 
 #include "eelgrasslatch/rng.h"
+#include "eelgrasslatch/service_names.h"
 
 /*
  * Routes of one configuration version: host and longest prefix select a
- * route, weights select one of its services.  Services are small numbers that
- * an eel_service_names table assigns and never reuses.
+ * route, weights select one of its services.  Services are numbers of an
+ * eel_service_names table.
  */
 
-#define EEL_SERVICE_NAMES_MAX 512
-#define EEL_NO_SERVICE UINT16_MAX
-
-struct eel_service_names
-{
-  char *names[EEL_SERVICE_NAMES_MAX];
-  uint16_t count;
-};
-
-void eel_service_names_init (struct eel_service_names *names);
-void eel_service_names_finish (struct eel_service_names *names);
-/* Returns the number of a name, EEL_NO_SERVICE when it has none. */
-uint16_t eel_service_names_find (const struct eel_service_names *names,
-                                 const char *name);
-/* Returns the number of a name, adding it; EEL_NO_SERVICE when full. */
-uint16_t eel_service_names_intern (struct eel_service_names *names,
-                                   const char *name);
-
 /* One of the services that share the requests of a route, by weight. */
 struct eel_route_part
 {
-  uint16_t service;
+  uint32_t service;
   /* In a sealed table a share of the largest weight of the route. */
   double weight;
   /* State of the smooth weighted round robin. */
@@ -83,6 +66,6 @@
                                         const char *host,
                                         const char *target);
 /* Returns the service that the next request of the route goes to. */
-uint16_t eel_route_pick_service (struct eel_route *route);
+uint32_t eel_route_pick_service (struct eel_route *route);
 
 #endif
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -29,7 +29,7 @@
 struct eel_instance *
 eel_directory_find_by_address (struct eel_directory *directory,
                                uint32_t ip,
-                               uint16_t service)
+                               uint32_t service)
 {
   struct eel_instance *found = NULL;
 
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -240,7 +240,8 @@
     evbuffer_add_printf (
         out,
         "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64 "\r\n",
-        EEL_RELAY_CALL, attempt->relay->names.names[call->service], call->route,
+        EEL_RELAY_CALL,
+        eel_service_name (&attempt->relay->names, call->service), call->route,
         call->rank, call->idempotent,
         (call->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision,
         call->request->framing, call->request->length_bytes);
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -63,7 +63,7 @@
   /* Target time of the route; 0 for a request from a peer, which doesn't send
      it. */
   int64_t route_target_us;
-  uint16_t service;
+  uint32_t service;
   uint8_t rank;
   uint8_t idempotent;
   int64_t target_us;
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -198,8 +198,8 @@
       return;
     }
   eel_call_costs_count_call (&relay->call_costs, route->id);
-  eel_retry_share_request (&relay->retries[entry->call.service],
-                           entry->arrived_us);
+  eel_service_retries_request (&relay->retries, entry->call.service,
+                               entry->arrived_us);
   if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
                              entry->arrived_us, &relay->rng))
     {
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -108,7 +108,7 @@
       "after_ms=%" PRId64 " left_ms=%" PRId64 " pressure=%.0f refuse=%.2f",
       entry->call.request_id != NULL ? entry->call.request_id : "-",
       eel_error_info (reported)->name, status,
-      relay->names.names[entry->call.service], entry->call.rank,
+      eel_service_name (&relay->names, entry->call.service), entry->call.rank,
       entry->tried_count, entry->arrivals, entry->may_have_run,
       (now_us - entry->arrived_us) / EEL_US_PER_MS,
       (entry->call.deadline_us - now_us) / EEL_US_PER_MS,
@@ -223,7 +223,8 @@
     g_message ("event=upstream_error request=%s status=%u service=%s "
                "instance=%s attempt=%u after_ms=%" PRId64,
                entry->call.request_id != NULL ? entry->call.request_id : "-",
-               entry->status, entry->relay->names.names[entry->call.service],
+               entry->status,
+               eel_service_name (&entry->relay->names, entry->call.service),
                entry->call.instance_id, entry->tried_count,
                latency_us / EEL_US_PER_MS);
 }
@@ -279,8 +280,8 @@
       || (failure != EEL_FAILURE_SHED && entry->arrivals >= entry->attempts_max)
       || (entry->may_have_run && !entry->call.idempotent))
     return 0;
-  if (!eel_retry_share_take (&entry->relay->retries[entry->call.service],
-                             cost_milli, eel_clock_us ()))
+  if (!eel_service_retries_take (&entry->relay->retries, entry->call.service,
+                                 cost_milli, eel_clock_us ()))
     return 0;
   eel_metric_add (entry->relay->counters.retries, 1);
   return 1;
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -212,7 +212,7 @@
   call->request_id = eel_head_get (request, header_names->request_id);
   call->caller_service = eel_head_get (request, header_names->caller_service);
   call->instance_id = eel_head_get (request, header_names->expected_instance);
-  call->service = eel_service_names_intern (&relay->names, service);
+  call->service = eel_service_names_find (&relay->names, service);
   call->rank = (uint8_t)rank;
   call->idempotent = (uint8_t)(idempotent != 0);
   eel_crash_read (relay, request);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -72,7 +72,8 @@
          != NULL)
     if (++count <= EXPIRED_LINES_MAX)
       g_message ("event=endpoint_expired id=%s service=%s lapsed_ms=%" PRId64,
-                 instance->id, relay->names.names[instance->service],
+                 instance->id,
+                 eel_service_name (&relay->names, instance->service),
                  (now_us - instance->lapsed_us) / EEL_US_PER_MS);
   if (count > EXPIRED_LINES_MAX)
     g_message ("event=endpoints_expired count=%u", count);
@@ -104,6 +105,7 @@
   (void)fd;
   (void)what;
   remove_expired (relay, now_us);
+  eel_relay_collect_names (relay);
   eel_call_costs_tick (&relay->call_costs, now_us);
   eel_reach_tick (&relay->endpoint_reach, now_us);
   eel_server_sweep (&relay->callers, now_us);
@@ -144,16 +146,6 @@
                                     "Time that a request holds a slot.");
 }
 
-static void
-init_retries (struct eel_relay *relay)
-{
-  const struct eel_relay_config *config = &relay->config;
-
-  for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX; i++)
-    eel_retry_share_init (&relay->retries[i], config->retry_ratio, 0,
-                          config->retry_window_us, eel_clock_us ());
-}
-
 /* Each endpoint has a node: they share the fixed retries of a window. */
 static void
 share_fixed_retries (struct eel_relay *relay)
@@ -162,8 +154,9 @@
 
   for (uint32_t i = 0; i < relay->directory.count; i++)
     nodes += (uint32_t)eel_instance_listed (&relay->directory.instances[i]);
-  for (uint32_t i = 0; i < EEL_SERVICE_NAMES_MAX && nodes > 0; i++)
-    relay->retries[i].extra = relay->config.retry_extra / nodes;
+  if (nodes > 0)
+    eel_service_retries_set_extra (&relay->retries,
+                                   relay->config.retry_extra / nodes);
 }
 
 /* Returns 0 when a listener can't be opened or memory runs out. */
@@ -192,7 +185,8 @@
   eel_crash_watch_init (&relay->crash_watch);
   eel_quarantine_init (&relay->quarantine, relay->quarantine_entries,
                        EEL_RELAY_QUARANTINE_MAX, QUARANTINE_LIFE_US);
-  init_retries (relay);
+  eel_service_retries_init (&relay->retries, config->retry_ratio,
+                            config->retry_window_us);
   init_counters (&relay->counters, metrics);
   eel_pool_init (&relay->endpoint_pool, base, &config->endpoint);
   eel_reach_init (&relay->endpoint_reach, base, &config->endpoint,
@@ -230,6 +224,7 @@
       free (relay->routes);
     }
   free (relay->directory.instances);
+  eel_service_retries_finish (&relay->retries);
   eel_service_names_finish (&relay->names);
 }
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -10,12 +10,12 @@
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/fault_rate.h"
 #include "eelgrasslatch/gate.h"
-#include "eelgrasslatch/retry_share.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
 #include "internal/metrics.h"
 #include "relay/pool.h"
 #include "relay/reach.h"
+#include "relay/service_retries.h"
 #include "relay/server.h"
 
 /*
@@ -101,7 +101,7 @@
 {
   struct event_base *base;
   struct eel_relay_config config;
-  uint16_t service;
+  uint32_t service;
   struct eel_rng rng;
   struct eel_service_names names;
   /* NULL until a configuration is known. */
@@ -113,7 +113,9 @@
   struct eel_crash_watch crash_watch;
   struct eel_quarantine quarantine;
   struct eel_quarantine_entry quarantine_entries[EEL_RELAY_QUARANTINE_MAX];
-  struct eel_retry_share retries[EEL_SERVICE_NAMES_MAX];
+  struct eel_service_retries retries;
+  /* Names in use after the last collection. */
+  uint32_t names_kept;
   struct eel_server callers;
   struct eel_server peers;
   struct eel_pool endpoint_pool;
@@ -183,6 +185,9 @@
                             uint64_t route,
                             int64_t target_us,
                             const struct eel_relay_load *load);
+/* Gives back the numbers of service names that are not in use, once there may
+   be as many of these as of the others. */
+void eel_relay_collect_names (struct eel_relay *relay);
 /* Starts queued requests while slots are free; refuses those that can't be
    served in time. */
 void eel_relay_dispatch_queued (struct eel_relay *relay);
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -133,6 +133,20 @@
   return NULL;
 }
 
+void
+eel_server_visit_open (const struct eel_server *server,
+                       void (*visit) (const struct eel_exchange *exchange,
+                                      void *data),
+                       void *data)
+{
+  for (const struct eel_conn *conn = server->conns; conn != NULL;
+       conn = conn->next)
+    for (const struct eel_exchange *exchange = conn->first; exchange != NULL;
+         exchange = exchange->next)
+      if (exchange->state != NULL)
+        visit (exchange, data);
+}
+
 /* Searches from the start each time, since end may close connections. */
 void
 eel_server_each_open (struct eel_server *server,
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -82,6 +82,12 @@
 /* Closes connections that are idle for too long or whose head is overdue; call
    it periodically. */
 void eel_server_sweep (struct eel_server *server, int64_t now_us);
+/* Calls visit for each exchange without a complete answer; it must change
+   none. */
+void eel_server_visit_open (const struct eel_server *server,
+                            void (*visit) (const struct eel_exchange *exchange,
+                                           void *data),
+                            void *data);
 /* Calls end for each exchange without a complete answer; end must complete or
    abort it. */
 void eel_server_each_open (struct eel_server *server,
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -98,7 +98,7 @@
 
 static void
 view_service (const struct eel_directory *directory,
-              uint16_t service,
+              uint32_t service,
               int64_t now_us,
               struct service_view *view)
 {
--- a/src/routing/route_table.c
+++ b/src/routing/route_table.c
@@ -7,45 +7,6 @@
 
 #include "internal/hash.h"
 
-void
-eel_service_names_init (struct eel_service_names *names)
-{
-  names->count = 0;
-}
-
-void
-eel_service_names_finish (struct eel_service_names *names)
-{
-  for (uint16_t i = 0; i < names->count; i++)
-    free (names->names[i]);
-  names->count = 0;
-}
-
-/* Names are never removed, so that a number stays valid. */
-uint16_t
-eel_service_names_find (const struct eel_service_names *names, const char *name)
-{
-  for (uint16_t i = 0; i < names->count; i++)
-    if (strcmp (names->names[i], name) == 0)
-      return i;
-  return EEL_NO_SERVICE;
-}
-
-uint16_t
-eel_service_names_intern (struct eel_service_names *names, const char *name)
-{
-  uint16_t known = eel_service_names_find (names, name);
-
-  if (known != EEL_NO_SERVICE)
-    return known;
-  if (names->count == EEL_SERVICE_NAMES_MAX)
-    return EEL_NO_SERVICE;
-  names->names[names->count] = strdup (name);
-  if (names->names[names->count] == NULL)
-    return EEL_NO_SERVICE;
-  return names->count++;
-}
-
 void
 eel_route_table_init (struct eel_route_table *table, uint64_t version)
 {
@@ -257,7 +218,7 @@
 }
 
 /* Smooth weighted round robin keeps the shares over short runs as well. */
-uint16_t
+uint32_t
 eel_route_pick_service (struct eel_route *route)
 {
   struct eel_route_part *best = &route->parts[0];
--- a/tests/unit/test_platform_config.cc
+++ b/tests/unit/test_platform_config.cc
@@ -36,7 +36,8 @@
   found = eel_route_table_find (table, "a.example", "/split/x");
   for (int i = 0; found != nullptr && found->part_count > 0 && i < requests;
        i++)
-    counts[platform->relay.names.names[eel_route_pick_service (found)]]++;
+    counts[eel_service_name (&platform->relay.names,
+                             eel_route_pick_service (found))]++;
   eel_route_table_finish (table);
   free (table);
   return counts;
@@ -153,3 +154,30 @@
       free (table);
     }
 }
+
+// Guards against an added route that is never served because entries of other
+// writers named many services before its endpoint registered.
+TEST_F (adapter_test, EndpointAmongManyForeignServicesIsUsable)
+{
+  for (int i = 0; i < 600; i++)
+    entry_is_usable ("servers/a",
+                     R"({"service":"odd)" + std::to_string (i)
+                         + R"(","address":"10.0.0.1:80","zone":"z1",)"
+                           R"("slots":4,"state":"ready"})");
+  EXPECT_TRUE (entry_is_usable ("servers/b",
+                                R"({"service":"later","address":"10.0.0.2:80",)"
+                                R"("zone":"z1","slots":4,"state":"ready"})"));
+}
+
+// Guards against a process that takes no configuration any more once it has
+// seen many names of services.
+TEST_F (adapter_test, ConfigurationsMayNameEverNewServices)
+{
+  for (int version = 0; version < 3000; version++)
+    ASSERT_EQ (
+        routes (config (R"({"host":"a.example","prefix":"/v/","timeoutMs":9,)"
+                        R"("service":"new)"
+                        + std::to_string (version) + "\"}")),
+        2)
+        << version;
+}
--- a/tests/unit/test_relay_retries.cc
+++ b/tests/unit/test_relay_retries.cc
@@ -12,9 +12,8 @@
 
   for (size_t node = 1; node < 3; node++)
     cluster.list_upstream (node);
-  before = relay.retries[relay.service].extra;
+  before = relay.retries.extra;
   EXPECT_DOUBLE_EQ (2 * before, relay.config.retry_extra);
   cluster.list_upstream (3);
-  EXPECT_DOUBLE_EQ (3 * relay.retries[relay.service].extra,
-                    relay.config.retry_extra);
+  EXPECT_DOUBLE_EQ (3 * relay.retries.extra, relay.config.retry_extra);
 }
