Log connections that end with a part of an answer unsent

The event answer_cut names the server, the unsent bytes, the time since the last answer and the error, and two counters count such ends. A link's failure names its error too.

--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -1,8 +1,10 @@
 #include "relay/conn.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -325,11 +327,33 @@
     conn->server->ops->drained (conn->first);
 }
 
+/* Reports a connection that ends while a part of an answer is unsent here, or
+   may be in the kernel: that is so where TCP has given up. */
+static void
+report_cut (struct eel_conn *conn, const char *reason, int timed_out)
+{
+  size_t unsent = evbuffer_get_length (bufferevent_get_output (conn->bev));
+
+  if (unsent == 0 && !timed_out)
+    return;
+  conn->server->cut++;
+  g_message ("event=answer_cut server=%s unsent_bytes=%zu open=%u "
+             "after_ms=%" G_GINT64_FORMAT " reason=\"%s\"",
+             conn->server->ops->name, unsent, conn->count,
+             (eel_clock_us () - conn->phase_start_us) / EEL_US_PER_MS, reason);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *data)
 {
+  int error = EVUTIL_SOCKET_ERROR ();
+
   (void)bev;
-  (void)what;
+  if ((what & BEV_EVENT_EOF) != 0)
+    report_cut (data, "closed by the peer", 0);
+  else
+    report_cut (data, evutil_socket_error_to_string (error),
+                error == ETIMEDOUT);
   eel_conn_close (data);
 }
 
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -282,7 +282,8 @@
     eel_attempt_pause (entry->attempt, 0);
 }
 
-const struct eel_server_ops eel_entry_ops = { .request = on_request,
+const struct eel_server_ops eel_entry_ops = { .name = "callers",
+                                              .request = on_request,
                                               .body = on_request_body,
                                               .body_end = on_request_end,
                                               .disconnected = on_disconnect,
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -331,7 +331,8 @@
     eel_attempt_pause (run->attempt, 0);
 }
 
-const struct eel_server_ops eel_executor_ops = { .request = on_request,
+const struct eel_server_ops eel_executor_ops = { .name = "peers",
+                                                 .request = on_request,
                                                  .body = on_request_body,
                                                  .body_end = on_request_end,
                                                  .disconnected = on_disconnect,
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -306,7 +306,9 @@
   else if ((what & BEV_EVENT_TIMEOUT) != 0)
     link_fail (link, "connect timed out");
   else
-    link_fail (link, link->connected ? "connection reset" : "connect failed");
+    link_fail (link, link->connected ? evutil_socket_error_to_string (
+                         EVUTIL_SOCKET_ERROR ())
+                                     : "connect failed");
 }
 
 /* Starts to connect; returns NULL when that fails at once. */
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -113,6 +113,8 @@
   eel_pool_sweep (&relay->endpoint_pool, now_us);
   g_hash_table_foreach (relay->peer_pools, sweep_pool, &now_us);
   eel_relay_dispatch_queued (relay);
+  eel_metric_set (relay->counters.cut_callers, relay->callers.cut);
+  eel_metric_set (relay->counters.cut_peers, relay->peers.cut);
   log_load (relay, now_us);
 }
 
@@ -137,6 +139,10 @@
   COUNTER (retries, "eel_relay_retries_total", "Further arrivals.");
   COUNTER (disconnected, "eel_relay_gone_total", "Requests whose caller left.");
   COUNTER (runs, "eel_relay_runs_total", "Requests sent to the endpoint.");
+  COUNTER (cut_callers, "eel_relay_cut_callers_total",
+           "Callers' connections that ended with an answer unsent.");
+  COUNTER (cut_peers, "eel_relay_cut_peers_total",
+           "Peers' connections that ended with an answer unsent.");
 #undef COUNTER
   counters->latency = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
                                        "eel_relay_latency_seconds", "",
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -81,6 +81,9 @@
   struct eel_metric *retries;
   struct eel_metric *disconnected;
   struct eel_metric *runs;
+  /* Connections that ended with a part of an answer unsent. */
+  struct eel_metric *cut_callers;
+  struct eel_metric *cut_peers;
   struct eel_metric *latency;
   struct eel_metric *hold;
 };
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -19,6 +19,8 @@
 
 struct eel_server_ops
 {
+  /* For log lines. */
+  const char *name;
   void (*request) (struct eel_exchange *exchange);
   void (*body) (struct eel_exchange *exchange, const char *data, size_t bytes);
   void (*body_end) (struct eel_exchange *exchange);
@@ -53,6 +55,8 @@
   uint8_t closing;
   uint64_t accepted;
   uint64_t refused;
+  /* Connections that ended with a part of an answer unsent, or timed out. */
+  uint64_t cut;
 };
 
 struct eel_exchange
