Keep connections to callers that read slowly

Callers saw: those that read an answer slowly, or nothing for 4 s, got a part of it and then a reset, with time left. Their orders had run.

Cause: accepted connections had TCP_USER_TIMEOUT of 4 s. It was meant for callers that can't be reached, but the kernel also ends a connection with it whose peer is alive and keeps its window closed. Evidence: the line answer_cut, "Connection timed out" after 4.27 s with all of a 30 kB answer in the kernel.

Change: the option is gone from accepted connections, those of callers and of peers. A peer that can't be reached is found by keep-alive probes while nothing is unacknowledged (3 s; 4 s before), else by TCP_INFO: the kernel repeats a segment or a window probe, and nothing was acknowledged for 4 s. A slow reader has its connection until 1 s after the deadline of its request, however long the idle time-out; only then is it cut, with a line. The idle time-out runs from the end of the last answer's output.

A simulated kernel that leaves the fields of TCP_INFO at 0 makes every peer count as reachable: an unsent answer then ends by the deadline.

--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -12,13 +12,16 @@
 
 #include "eelgrasslatch/types.h"
 #include "internal/task.h"
-#include "relay/socket.h"
 
 /* Requests of one connection that are open at the same time. */
 #define PIPELINE_MAX 16
 #define READ_BYTES_MAX 65536
-/* TCP user time-out: how long an unreachable caller goes undetected. */
-#define CALLER_TIMEOUT_MS 4000
+
+size_t
+eel_conn_unsent_bytes (const struct eel_conn *conn)
+{
+  return evbuffer_get_length (bufferevent_get_output (conn->bev));
+}
 
 /* The connection must be closed. */
 void
@@ -100,6 +103,8 @@
     conn->reading = NULL;
   conn->count--;
   conn->phase_start_us = eel_clock_us ();
+  if (exchange->deadline_us > conn->answer_deadline_us)
+    conn->answer_deadline_us = exchange->deadline_us;
   eel_exchange_free (exchange);
 }
 
@@ -321,28 +326,33 @@
   struct eel_conn *conn = data;
 
   (void)bev;
+  /* An idle phase begins with the end of the last answer. */
+  if (conn->count == 0 && !conn->lingering)
+    conn->phase_start_us = eel_clock_us ();
   if (conn->closing)
     linger (conn);
   else if (conn->first != NULL && conn->first->state != NULL)
     conn->server->ops->drained (conn->first);
 }
 
-/* Reports a connection that ends while a part of an answer is unsent here, or
-   may be in the kernel: that is so where TCP has given up. */
 static void
-report_cut (struct eel_conn *conn, const char *reason, int timed_out)
+report_cut (struct eel_conn *conn, const char *reason)
 {
-  size_t unsent = evbuffer_get_length (bufferevent_get_output (conn->bev));
-
-  if (unsent == 0 && !timed_out)
-    return;
   conn->server->cut++;
   g_message ("event=answer_cut server=%s unsent_bytes=%zu open=%u "
              "after_ms=%" G_GINT64_FORMAT " reason=\"%s\"",
-             conn->server->ops->name, unsent, conn->count,
+             conn->server->ops->name, eel_conn_unsent_bytes (conn), conn->count,
              (eel_clock_us () - conn->phase_start_us) / EEL_US_PER_MS, reason);
 }
 
+void
+eel_conn_cut (struct eel_conn *conn, const char *reason)
+{
+  if (eel_conn_unsent_bytes (conn) > 0)
+    report_cut (conn, reason);
+  eel_conn_close (conn);
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *data)
 {
@@ -350,11 +360,14 @@
 
   (void)bev;
   if ((what & BEV_EVENT_EOF) != 0)
-    report_cut (data, "closed by the peer", 0);
-  else
-    report_cut (data, evutil_socket_error_to_string (error),
-                error == ETIMEDOUT);
-  eel_conn_close (data);
+    {
+      eel_conn_cut (data, "closed by the peer");
+      return;
+    }
+  /* A part of the answer may have been in the kernel. */
+  if (error == ETIMEDOUT && eel_conn_unsent_bytes (data) == 0)
+    report_cut (data, "timed out");
+  eel_conn_cut (data, evutil_socket_error_to_string (error));
 }
 
 /* Takes ownership of an accepted socket.  Returns NULL when out of memory; the
@@ -373,7 +386,8 @@
       free (conn);
       return NULL;
     }
-  eel_socket_set_options (fd, CALLER_TIMEOUT_MS);
+  eel_socket_set_nodelay (fd);
+  eel_socket_set_keepalive (fd);
   conn->server = server;
   conn->phase_start_us = eel_clock_us ();
   eel_reader_init (&conn->reader, HTTP_REQUEST, &reader_ops, conn,
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -2,6 +2,7 @@
 #define EEL_RELAY_CONN_H
 
 #include "relay/server.h"
+#include "relay/socket.h"
 
 /* One connection of a server; shared by the server's source files. */
 
@@ -20,6 +21,9 @@
   uint32_t count;
   /* Start of the present phase: idle, reading a head, or lingering. */
   int64_t phase_start_us;
+  /* Latest deadline of the answers sent. */
+  int64_t answer_deadline_us;
+  struct eel_socket_watch watch;
   /* eel_conn_feed runs; guards against recursion. */
   uint8_t feeding;
   uint8_t is_closed;
@@ -33,6 +37,9 @@
 
 struct eel_conn *eel_conn_open (struct eel_server *server, int fd);
 void eel_conn_close (struct eel_conn *conn);
+/* Reports that an answer is cut off, if one is, and closes the connection. */
+void eel_conn_cut (struct eel_conn *conn, const char *reason);
+size_t eel_conn_unsent_bytes (const struct eel_conn *conn);
 void eel_conn_free (struct eel_conn *conn);
 /* Parses buffered input; call it after an exchange was removed. */
 void eel_conn_feed (struct eel_conn *conn);
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -123,6 +123,7 @@
     .deadline_us = now_us + time_limit_us (relay, &exchange->request, route),
   };
   exchange->state = entry;
+  exchange->deadline_us = entry->call.deadline_us;
   eel_crash_content_init (&entry->content, &exchange->request,
                           relay->config.service);
   if (entry->replay != NULL && start_deadline (entry))
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -263,6 +263,7 @@
       refuse (relay, exchange, 0, EEL_FAILURE_REFUSED);
       return;
     }
+  exchange->deadline_us = run->call.deadline_us;
   eel_crash_content_init (&run->content, &exchange->request,
                           run->call.caller_service);
   /* The entry node sends the body, or its end, only after this. */
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -297,8 +297,13 @@
     {
       link->connected = 1;
       bufferevent_set_timeouts (bev, NULL, NULL);
-      eel_socket_set_options (bufferevent_getfd (bev),
-                              link->pool->peer_timeout_ms);
+      eel_socket_set_nodelay (bufferevent_getfd (bev));
+      if (link->pool->peer_timeout_ms > 0)
+        {
+          eel_socket_set_keepalive (bufferevent_getfd (bev));
+          eel_socket_set_user_timeout (bufferevent_getfd (bev),
+                                       link->pool->peer_timeout_ms);
+        }
       return;
     }
   if ((what & BEV_EVENT_EOF) != 0)
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -41,7 +41,7 @@
   int64_t learned_idle_max_us;
   int64_t learned_at_us;
   int64_t connect_timeout_us;
-  /* Time-out for unresponsive peers, for eel_socket_set_options; 0 for a peer
+  /* Time-out for unresponsive peers, for TCP_USER_TIMEOUT; 0 for a peer
      on the same machine. */
   uint32_t peer_timeout_ms;
   /* Time of the last input on any link. */
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -19,6 +19,10 @@
 #define LISTEN_BACKLOG 1024
 /* A peer that has received its last answer closes within a round trip. */
 #define LINGER_TIMEOUT_US (1 * EEL_US_PER_S)
+/* Beyond the deadline of an answer, and since it was complete here. */
+#define UNREAD_TIMEOUT_US (1 * EEL_US_PER_S)
+/* A peer that acknowledges nothing for this long can't be reached. */
+#define UNREACHABLE_US (4 * EEL_US_PER_S)
 /* A caller sends its request within a round trip after it has connected, and
    the rest of a head that it has begun soon after. */
 #define REQUEST_EXPECTED_US (200 * EEL_US_PER_MS)
@@ -100,8 +104,32 @@
   free_closed (server);
 }
 
-/* Closes connections past idle_timeout_us, head_timeout_us or the linger
-   time-out. */
+/* Returns why an answer that is not written to the socket must be given up, or
+   NULL.  A peer that reads slowly keeps its connection until the deadline. */
+static const char *
+reason_to_cut (struct eel_conn *conn, int64_t now_us)
+{
+  if (eel_socket_is_unreachable (&conn->watch, bufferevent_getfd (conn->bev),
+                                 UNREACHABLE_US, now_us))
+    return "peer is unreachable";
+  if (conn->count == 0 && now_us - conn->phase_start_us > UNREAD_TIMEOUT_US
+      && now_us - conn->answer_deadline_us > UNREAD_TIMEOUT_US)
+    return "not read by the deadline";
+  return NULL;
+}
+
+static int
+is_overdue (const struct eel_conn *conn, int64_t now_us)
+{
+  const struct eel_server_limits *limits = &conn->server->limits;
+  int64_t limit_us = conn->reader.started ? limits->head_timeout_us
+                                          : limits->idle_timeout_us;
+
+  if (conn->lingering)
+    limit_us = LINGER_TIMEOUT_US;
+  return conn->count == 0 && now_us - conn->phase_start_us > limit_us;
+}
+
 void
 eel_server_sweep (struct eel_server *server, int64_t now_us)
 {
@@ -111,28 +139,17 @@
   while (conn != NULL)
     {
       struct eel_conn *next = conn->next;
-      int64_t limit_us = conn->reader.started ? server->limits.head_timeout_us
-                                              : server->limits.idle_timeout_us;
+      int unsent = eel_conn_unsent_bytes (conn) > 0;
+      const char *reason = unsent ? reason_to_cut (conn, now_us) : NULL;
 
-      if (conn->lingering)
-        limit_us = LINGER_TIMEOUT_US;
-      if (conn->count == 0 && now_us - conn->phase_start_us > limit_us)
+      if (reason != NULL)
+        eel_conn_cut (conn, reason);
+      else if (!unsent && is_overdue (conn, now_us))
         eel_conn_close (conn);
       conn = next;
     }
 }
 
-static struct eel_exchange *
-first_open (const struct eel_server *server)
-{
-  for (struct eel_conn *conn = server->conns; conn != NULL; conn = conn->next)
-    for (struct eel_exchange *exchange = conn->first; exchange != NULL;
-         exchange = exchange->next)
-      if (exchange->state != NULL)
-        return exchange;
-  return NULL;
-}
-
 void
 eel_server_visit_open (const struct eel_server *server,
                        void (*visit) (const struct eel_exchange *exchange,
@@ -147,6 +164,17 @@
         visit (exchange, data);
 }
 
+static struct eel_exchange *
+first_open (const struct eel_server *server)
+{
+  for (struct eel_conn *conn = server->conns; conn != NULL; conn = conn->next)
+    for (struct eel_exchange *exchange = conn->first; exchange != NULL;
+         exchange = exchange->next)
+      if (exchange->state != NULL)
+        return exchange;
+  return NULL;
+}
+
 /* Searches from the start each time, since end may close connections. */
 void
 eel_server_each_open (struct eel_server *server,
@@ -164,8 +192,7 @@
 {
   int64_t age_us = now_us - conn->phase_start_us;
 
-  if (conn->count > 0
-      || evbuffer_get_length (bufferevent_get_output (conn->bev)) > 0)
+  if (conn->count > 0 || eel_conn_unsent_bytes (conn) > 0)
     return 1;
   if (conn->lingering || conn->closing)
     return 0;
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -68,6 +68,9 @@
   /* Set by the server's owner; NULL once the answer is complete. */
   void *state;
   uint64_t body_bytes;
+  /* When the peer stops waiting for the answer; 0: unknown.  Set by the owner.
+   */
+  int64_t deadline_us;
   enum eel_framing answer_framing;
   uint8_t request_done;
   uint8_t answer_started;
@@ -83,8 +86,9 @@
 /* Closes the listener; open connections stay. */
 void eel_server_stop (struct eel_server *server);
 void eel_server_finish (struct eel_server *server);
-/* Closes connections that are idle for too long or whose head is overdue; call
-   it periodically. */
+/* Closes connections that are idle for too long, whose head is overdue, or
+   whose peer can't be reached or still hasn't read its last answer well after
+   the deadline; call it periodically. */
 void eel_server_sweep (struct eel_server *server, int64_t now_us);
 /* Calls visit for each exchange without a complete answer; it must change
    none. */
--- a/src/relay/socket.c
+++ b/src/relay/socket.c
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+/* A failure is logged and otherwise ignored. */
 static void
 set_option (int fd, int level, int option, int value)
 {
@@ -12,16 +13,49 @@
     g_warning ("setsockopt failed: level %d, option %d", level, option);
 }
 
-/* A failure is logged and otherwise ignored. */
 void
-eel_socket_set_options (int fd, uint32_t peer_timeout_ms)
+eel_socket_set_nodelay (int fd)
 {
   set_option (fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  if (peer_timeout_ms == 0)
-    return;
-  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)peer_timeout_ms);
+}
+
+void
+eel_socket_set_keepalive (int fd)
+{
   set_option (fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   set_option (fd, IPPROTO_TCP, TCP_KEEPIDLE, 1);
   set_option (fd, IPPROTO_TCP, TCP_KEEPINTVL, 1);
   set_option (fd, IPPROTO_TCP, TCP_KEEPCNT, 2);
 }
+
+void
+eel_socket_set_user_timeout (int fd, uint32_t timeout_ms)
+{
+  set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)timeout_ms);
+}
+
+/* True while the kernel repeats a segment or a window probe.  Where it gives no
+   such information the peer counts as reachable. */
+static int
+awaits_repeated (int fd)
+{
+  struct tcp_info info = { 0 };
+  socklen_t bytes = sizeof info;
+
+  return getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &bytes) == 0
+         && info.tcpi_retransmits + info.tcpi_probes > 0;
+}
+
+int
+eel_socket_is_unreachable (struct eel_socket_watch *watch,
+                           int fd,
+                           int64_t limit_us,
+                           int64_t now_us)
+{
+  if (!awaits_repeated (fd))
+    watch->silent_since_us = 0;
+  else if (watch->silent_since_us == 0)
+    watch->silent_since_us = now_us;
+  return watch->silent_since_us != 0
+         && now_us - watch->silent_since_us >= limit_us;
+}
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -98,7 +98,7 @@
   conn->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
   bufferevent_setcb (conn->bev, upstream_read, nullptr, upstream_event,
                      new upstream_arg{ upstream, conn.get () });
-  bufferevent_enable (conn->bev, EV_READ | EV_WRITE);
+  bufferevent_enable (conn->bev, upstream->reads ? EV_READ : EV_WRITE);
   upstream->conns.push_back (std::move (conn));
 }
 
@@ -289,10 +289,10 @@
 }
 
 void
-relay_cluster::set_routes (uint32_t timeout_ms)
+relay_cluster::set_routes (uint32_t timeout_ms, uint64_t max_body_bytes)
 {
   const struct eel_server_limits limits
-      = { 16384, 1024 * 1024, EEL_US_PER_S, 10 * EEL_US_PER_S };
+      = { 16384, max_body_bytes, EEL_US_PER_S, 10 * EEL_US_PER_S };
 
   for (auto &node : nodes)
     {
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -37,6 +37,8 @@
   std::vector<std::string> requests;
   std::function<void (raw_upstream &, raw_conn &, const std::string &)> answer;
   size_t closed_by_peer = 0;
+  // Whether new connections are read from.
+  bool reads = true;
 
   void open (struct event_base *base, const char *ip, uint16_t port = 0);
   ~raw_upstream ();
@@ -76,7 +78,8 @@
                          bool ready = true);
   // Sets the routes /safe/ (idempotent), /once/ (not idempotent) and
   // /safe/unserved/, which is invalid.
-  void set_routes (uint32_t timeout_ms = 2000);
+  void set_routes (uint32_t timeout_ms = 2000,
+                   uint64_t max_body_bytes = 1024 * 1024);
   bool run_until (const std::function<bool ()> &done, int64_t limit_ms = 8000);
   void run_ms (int64_t ms);
   std::unique_ptr<raw_conn> connect (size_t node = 0);
