Let endpoints read a long body slowly, also behind another node

Callers saw: an order with a body of some megabytes got 502 after 1.8 s when its endpoint, on another machine, read nothing for that long, though the endpoint would have run it in time.

Cause: links to peers have TCP_USER_TIMEOUT of 1.5 s. The node beside the endpoint stops reading at 256 KiB, its window closes, and the kernel of the entry node takes that for a lost peer ("Connection timed out").

Change: the option stays for the first 32 KiB of a body, which a peer's kernel takes whether its process reads or not; small requests are what it is there for, as the retry of a lookup waits for it. The time limit of the request bounds the rest.

Test: slow_test.EndpointsThatReadNothingForSecondsGetTheWholeBody (48 MiB, nothing read for 3 s) failed before and passes.

--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -82,10 +82,10 @@
 {
   if (attempt->answer_done)
     return;
-  eel_body_write (attempt->framing,
-                  attempt->accepted ? eel_link_output (attempt->link)
-                                    : attempt->pending,
-                  data, bytes);
+  if (attempt->accepted)
+    eel_link_write_body (attempt->link, attempt->framing, data, bytes);
+  else
+    eel_body_write (attempt->framing, attempt->pending, data, bytes);
 }
 
 void
@@ -96,24 +96,16 @@
     return;
   attempt->body_done = 1;
   if (attempt->accepted)
-    {
-      eel_body_write_end (attempt->framing, eel_link_output (attempt->link));
-      eel_link_request_done (attempt->link);
-    }
+    eel_link_write_end (attempt->link, attempt->framing);
 }
 
 void
 eel_attempt_send_pending (struct eel_attempt *attempt)
 {
-  struct evbuffer *out = eel_link_output (attempt->link);
-
   attempt->accepted = 1;
-  evbuffer_add_buffer (out, attempt->pending);
+  eel_link_write_pending (attempt->link, attempt->pending);
   if (attempt->body_done)
-    {
-      eel_body_write_end (attempt->framing, out);
-      eel_link_request_done (attempt->link);
-    }
+    eel_link_write_end (attempt->link, attempt->framing);
 }
 
 size_t
@@ -122,7 +114,7 @@
   size_t bytes = evbuffer_get_length (attempt->pending);
 
   if (attempt->link != NULL)
-    bytes += evbuffer_get_length (eel_link_output (attempt->link));
+    bytes += eel_link_unsent_bytes (attempt->link);
   return bytes;
 }
 
--- a/src/relay/pool.c
+++ b/src/relay/pool.c
@@ -126,18 +126,11 @@
         return NULL;
       pool->opened++;
     }
-  link->sent_us = now_us;
-  link->requests++;
+  eel_link_begin (link, now_us);
   eel_link_list_add (link, 0);
   link->ops = ops;
   link->owner = owner;
   link->is_head = (uint8_t)is_head;
-  link->request_done = 0;
-  link->answer_started = 0;
-  link->discarded = 0;
-  link->discarded_heads = 0;
-  link->discarded_bytes = 0;
-  link->discard = 0;
   evbuffer_add_buffer (bufferevent_get_output (link->bev), head);
   return link;
 }
@@ -166,11 +159,28 @@
   pool->learned_at_us = now_us;
 }
 
+/* A failure may close any link, so that the search begins again. */
+static void
+check_peers (struct eel_pool *pool, int64_t now_us)
+{
+  struct eel_link *link = pool->active;
+
+  while (link != NULL)
+    {
+      struct eel_link *next = link->next;
+
+      eel_link_check_peer (link, now_us);
+      link = link->closed ? pool->active : next;
+    }
+}
+
 void
 eel_pool_sweep (struct eel_pool *pool, int64_t now_us)
 {
-  struct eel_link *link = pool->idle;
+  struct eel_link *link;
 
+  check_peers (pool, now_us);
+  link = pool->idle;
   relax_learned_idle_max (pool, now_us);
   free_closed (pool);
   while (link != NULL)
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 #include "relay/reader.h"
+#include "relay/socket.h"
 
 /*
  * Pool of client connections to one address.  Each carries one request at a
@@ -41,8 +42,8 @@
   int64_t learned_idle_max_us;
   int64_t learned_at_us;
   int64_t connect_timeout_us;
-  /* Time-out for unresponsive peers, for TCP_USER_TIMEOUT; 0 for a peer
-     on the same machine. */
+  /* How long a peer may leave what it was sent unacknowledged; 0 for a peer on
+     the same machine. */
   uint32_t peer_timeout_ms;
   /* Time of the last input on any link. */
   int64_t last_read_us;
@@ -77,6 +78,11 @@
      before it, 0 for a new connection. */
   int64_t sent_us;
   int64_t reused_idle_us;
+  /* Bytes of the request's body that were passed to the link. */
+  uint64_t body_bytes;
+  /* The peer may read the body as slowly as it likes. */
+  uint8_t may_stall;
+  struct eel_socket_watch watch;
   uint8_t is_idle;
   uint8_t connected;
   /* The request is HEAD: its answer has no body. */
@@ -120,14 +126,19 @@
 /* Reports that the peer closed or reset a connection reused after that idle
    time, without answering. */
 void eel_pool_report_stale (struct eel_pool *pool, int64_t reused_idle_us);
-/* Closes links that were idle for too long and frees closed ones; call it
-   periodically. */
+/* Closes links that were idle for too long, fails those whose peer can't be
+   reached, and frees closed ones; call it periodically. */
 void eel_pool_sweep (struct eel_pool *pool, int64_t now_us);
 
-/* Returns the buffer that the request's body is written to. */
-struct evbuffer *eel_link_output (struct eel_link *link);
-/* Marks the request as complete; only then can the link be kept. */
-void eel_link_request_done (struct eel_link *link);
+/* Sends a piece of the request's body, or the end of it. */
+void eel_link_write_body (struct eel_link *link,
+                          enum eel_framing framing,
+                          const void *data,
+                          size_t bytes);
+void eel_link_write_pending (struct eel_link *link, struct evbuffer *pending);
+void eel_link_write_end (struct eel_link *link, enum eel_framing framing);
+/* Bytes that are not yet written to the socket. */
+size_t eel_link_unsent_bytes (const struct eel_link *link);
 /* Stops or resumes reading the answer. */
 void eel_link_pause (struct eel_link *link, int pause);
 /* Ends the request by closing the connection; no callback follows. */
--- a/tests/unit/test_relay_slow.cc
+++ b/tests/unit/test_relay_slow.cc
@@ -56,6 +56,7 @@
 // Longer than TCP needs to find an unreachable peer, shorter than the time
 // limit of the requests.
 #define STALL_MS 5000
+#define UPLOAD_STALL_MS 3000
 #define LIMIT_MS 8000
 
 struct slow_test : public ::testing::Test
@@ -65,7 +66,7 @@
   slow_test ()
   {
     cluster.list_upstream (1);
-    cluster.set_routes (LIMIT_MS);
+    cluster.set_routes (LIMIT_MS, 64 * 1024 * 1024);
   }
 };
 
@@ -107,3 +108,33 @@
     EXPECT_TRUE (callers[i]->has_body (sizes[i % 4]))
         << i << " " << callers[i]->in.size ();
 }
+
+// Guards against requests that are cut off between two nodes because the
+// endpoint reads a long body slowly.
+TEST_F (slow_test, EndpointsThatReadNothingForSecondsGetTheWholeBody)
+{
+  // More than the buffers of the kernel on the way hold.
+  const size_t body_bytes = 48 * 1024 * 1024;
+  const int window_bytes = 16384;
+  raw_upstream &upstream = cluster.nodes[1]->upstream;
+  auto conn = cluster.connect (0);
+
+  upstream.reads = false;
+  setsockopt (evconnlistener_get_fd (upstream.listener), SOL_SOCKET, SO_RCVBUF,
+              &window_bytes, sizeof window_bytes);
+  upstream.answer = [] (raw_upstream &, raw_conn &upstream_conn,
+                        const std::string &request) {
+    raw_upstream::write (
+        upstream_conn,
+        answer_text (request, std::to_string (body_of (request).size ())));
+  };
+  raw_upstream::write (*conn, request_text ("POST", "/once/x", "r1", "",
+                                            std::string (body_bytes, 'b')));
+  cluster.run_ms (UPLOAD_STALL_MS);
+  ASSERT_EQ (upstream.conns.size (), 1u);
+  bufferevent_enable (upstream.conns[0]->bev, EV_READ);
+  EXPECT_TRUE (cluster.run_until (
+      [&] { return body_of (conn->in) == std::to_string (body_bytes); },
+      LIMIT_MS - UPLOAD_STALL_MS))
+      << conn->in.substr (0, 200);
+}
