Refuse requests whose body comes late in a planned stop

Cause: a stopping node looks at whether it refuses requests when a head arrives. Two ways send a request to an endpoint later: at the entry node, one that is held back until its body is known (requests of one content crash endpoints); beside the endpoint, one whose head was accepted and whose body arrives later.

Change: both look again before they send anything. The answer is 503 with Retry-After, or a refusal that sends the entry node to another endpoint; both are true, since nothing was sent.

Tests: RelayStop.HeldBackUploadThatEndsLateIsRefusedUnsent and RequestWhoseBodyComesLateIsNotStarted failed before.

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -164,11 +164,19 @@
 static void
 place (struct eel_entry *entry)
 {
+  struct eel_exchange *exchange = entry->exchange;
+
   entry->held_back = 0;
-  if (entry->call.fingerprint != 0
-      && eel_quarantine_check (&entry->relay->quarantine,
-                               entry->call.fingerprint, eel_clock_us ())
-             == EEL_QUARANTINE_REFUSED)
+  /* It may have waited for its body since before the node refuses requests. */
+  if (entry->relay->refusing)
+    {
+      eel_entry_free (entry);
+      eel_entry_refuse (exchange, EEL_ERROR_LEAVING, LEAVING_RETRY_AFTER_US);
+    }
+  else if (entry->call.fingerprint != 0
+           && eel_quarantine_check (&entry->relay->quarantine,
+                                    entry->call.fingerprint, eel_clock_us ())
+                  == EEL_QUARANTINE_REFUSED)
     eel_entry_answer_error (entry, EEL_ERROR_CRASHES_UPSTREAMS);
   else
     eel_entry_next (entry, EEL_ERROR_NO_ENDPOINT);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -282,6 +282,13 @@
   struct eel_relay *relay = run->relay;
   int first = run->attempt == NULL;
 
+  /* The head was accepted before the node refuses requests. */
+  if (first && relay->refusing)
+    {
+      run_free (run);
+      refuse (relay, exchange, 0, EEL_FAILURE_LEAVING);
+      return;
+    }
   if (first)
     run->attempt = eel_attempt_new (relay, &run->call, NULL, &attempt_ops, run);
   if (run->attempt == NULL)
--- a/tests/unit/test_relay_stop.cc
+++ b/tests/unit/test_relay_stop.cc
@@ -113,3 +113,76 @@
   EXPECT_TRUE (caller->closed);
   bufferevent_free (caller->bev);
 }
+
+// Guards against a request that is passed on late in the grace period, and cut
+// off at its end, because its body came late (to the entry node).
+TEST (RelayStop, HeldBackUploadThatEndsLateIsRefusedUnsent)
+{
+  stopping_node node;
+  struct eel_relay &relay = node.cluster.nodes[0]->relay;
+  auto caller = node.cluster.connect ();
+  std::string request = request_text ("POST", "/once/a", "r1", "", "abcdef");
+  const uint64_t suspect = 7;
+
+  // While requests of one content are suspected, others wait for their body.
+  eel_quarantine_crashed (&relay.quarantine, &suspect, 1, eel_clock_us ());
+  raw_upstream::write (*caller, request.substr (0, request.size () - 3));
+  node.cluster.run_ms (20);
+  node.stop ();
+  raw_upstream::write (*caller, request.substr (request.size () - 3));
+  node.run_and_close_idle (40);
+  EXPECT_EQ (caller->in.substr (0, 12), "HTTP/1.1 503");
+  EXPECT_NE (field_of (caller->in, "Retry-After"), "");
+  EXPECT_TRUE (node.cluster.nodes[0]->upstream.requests.empty ());
+  bufferevent_free (caller->bev);
+}
+
+// A node that stops beside the only endpoint, and a caller of another node.
+struct stopping_peer
+{
+  relay_cluster cluster{ 2 };
+  std::unique_ptr<raw_conn> caller;
+  std::vector<raw_conn *> held;
+
+  stopping_peer ()
+  {
+    cluster.list_upstream (1, 1);
+    cluster.set_routes ();
+    cluster.nodes[1]->upstream.answer
+        = [&] (raw_upstream &, raw_conn &conn, const std::string &) {
+            held.push_back (&conn);
+          };
+    caller = cluster.connect ();
+  }
+
+  ~stopping_peer ()
+  {
+    bufferevent_free (caller->bev);
+  }
+
+  bool
+  is_refused ()
+  {
+    return cluster.run_until ([&] { return !caller->in.empty (); }, 1000)
+           && caller->in.substr (0, 12) == "HTTP/1.1 503";
+  }
+};
+
+// Guards against the same at the node beside the endpoint, which has accepted
+// the head and waits for the body.
+TEST (RelayStop, RequestWhoseBodyComesLateIsNotStarted)
+{
+  stopping_peer peer;
+  struct eel_relay &stopping = peer.cluster.nodes[1]->relay;
+  std::string request = request_text ("POST", "/once/a", "r1", "", "abcdef");
+
+  raw_upstream::write (*peer.caller, request.substr (0, request.size () - 6));
+  EXPECT_TRUE (peer.cluster.run_until (
+      [&] { return stopping.peers.exchange_count == 1; }));
+  peer.cluster.run_ms (20);
+  eel_relay_stop (&stopping);
+  eel_relay_refuse_new (&stopping);
+  raw_upstream::write (*peer.caller, "abcdef");
+  EXPECT_TRUE (peer.is_refused ()) << peer.caller->in;
+  EXPECT_TRUE (peer.cluster.nodes[1]->upstream.requests.empty ());
+}
