--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -339,6 +339,19 @@
     eel_attempt_pause (run->attempt, 0);
 }
 
+int
+eel_executor_end_waiting (struct eel_exchange *exchange)
+{
+  struct run *run = exchange->state;
+  struct eel_relay *relay = run->relay;
+
+  if (run->attempt != NULL && !run->attempt->queued)
+    return 0;
+  run_free (run);
+  refuse (relay, exchange, 0, EEL_FAILURE_LEAVING);
+  return 1;
+}
+
 const struct eel_server_ops eel_executor_ops = { .name = "peers",
                                                  .request = on_request,
                                                  .body = on_request_body,
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -306,18 +306,23 @@
   relay->refusing = 1;
 }
 
-static void
-end_open (struct eel_exchange *exchange)
+/* An answer that has begun goes on. */
+static int
+end_entry (struct eel_exchange *exchange)
 {
+  if (exchange->answer_started)
+    return 0;
   eel_entry_terminate (exchange->state);
+  return 1;
 }
 
-/* Leaves no caller without an answer, except for answers already begun, which
-   are truncated. */
+/* Leaves no caller without an answer.  Peers' requests that no endpoint has yet
+   go elsewhere; the others may still end. */
 void
 eel_relay_end_open (struct eel_relay *relay)
 {
-  eel_server_each_open (&relay->callers, end_open);
+  eel_server_each_open (&relay->callers, end_entry);
+  eel_server_each_open (&relay->peers, eel_executor_end_waiting);
 }
 
 int
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -169,10 +169,12 @@
 void eel_relay_endpoints_changed (struct eel_relay *relay);
 /* Begins a planned stop: reports a load that makes peers prefer other nodes. */
 void eel_relay_stop (struct eel_relay *relay);
-/* Refuses new requests from now on. */
+/* Refuses new requests from now on, and those that no endpoint has yet when
+   their body is complete. */
 void eel_relay_refuse_new (struct eel_relay *relay);
-/* Answers every open request of a caller: overloaded, or outcome unknown if it
-   may have run. */
+/* Answers every open request of a caller whose answer has not begun:
+   overloaded, or outcome unknown if it may have run.  Refuses requests of peers
+   that wait for a slot. */
 void eel_relay_end_open (struct eel_relay *relay);
 /* True when no request is in flight. */
 int eel_relay_is_idle (const struct eel_relay *relay);
@@ -197,5 +199,7 @@
 
 extern const struct eel_server_ops eel_entry_ops;
 extern const struct eel_server_ops eel_executor_ops;
+/* Refuses a peer's request that is not at the endpoint yet and returns 1. */
+int eel_executor_end_waiting (struct eel_exchange *exchange);
 
 #endif
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -164,26 +164,26 @@
         visit (exchange, data);
 }
 
-static struct eel_exchange *
-first_open (const struct eel_server *server)
+/* Ends one of the exchanges; 0 when none is left that end takes. */
+static int
+end_one (const struct eel_server *server,
+         int (*end) (struct eel_exchange *exchange))
 {
   for (struct eel_conn *conn = server->conns; conn != NULL; conn = conn->next)
     for (struct eel_exchange *exchange = conn->first; exchange != NULL;
          exchange = exchange->next)
-      if (exchange->state != NULL)
-        return exchange;
-  return NULL;
+      if (exchange->state != NULL && end (exchange))
+        return 1;
+  return 0;
 }
 
 /* Searches from the start each time, since end may close connections. */
 void
 eel_server_each_open (struct eel_server *server,
-                      void (*end) (struct eel_exchange *exchange))
+                      int (*end) (struct eel_exchange *exchange))
 {
-  struct eel_exchange *exchange;
-
-  while ((exchange = first_open (server)) != NULL)
-    end (exchange);
+  while (end_one (server, end))
+    ;
 }
 
 /* True when a request is open or expected, or an answer is being sent. */
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -96,10 +96,10 @@
                             void (*visit) (const struct eel_exchange *exchange,
                                            void *data),
                             void *data);
-/* Calls end for each exchange without a complete answer; end must complete or
-   abort it. */
+/* Calls end for each exchange without a complete answer; end returns 1 when it
+   has completed or aborted it, else 0. */
 void eel_server_each_open (struct eel_server *server,
-                           void (*end) (struct eel_exchange *exchange));
+                           int (*end) (struct eel_exchange *exchange));
 int eel_server_is_idle (const struct eel_server *server);
 /* Closes connections that carry no request. */
 void eel_server_close_idle (struct eel_server *server);
--- a/tests/unit/test_relay_stop.cc
+++ b/tests/unit/test_relay_stop.cc
@@ -186,3 +186,53 @@
   EXPECT_TRUE (peer.is_refused ()) << peer.caller->in;
   EXPECT_TRUE (peer.cluster.nodes[1]->upstream.requests.empty ());
 }
+
+// Guards against a request of another node that waits here for a slot and is
+// cut off at the end of the grace period, though it could run elsewhere.
+TEST (RelayStop, WaitingRequestsOfPeersGoElsewhereAtTheEnd)
+{
+  stopping_peer peer;
+  struct eel_relay &stopping = peer.cluster.nodes[1]->relay;
+  auto first = peer.cluster.connect ();
+
+  raw_upstream::write (*first, request_text ("POST", "/once/a", "r1"));
+  EXPECT_TRUE (peer.cluster.run_until ([&] { return peer.held.size () == 1; }));
+  raw_upstream::write (*peer.caller, request_text ("POST", "/once/b", "r2"));
+  EXPECT_TRUE (
+      peer.cluster.run_until ([&] { return stopping.gate.queued == 1; }));
+  eel_relay_end_open (&stopping);
+  EXPECT_TRUE (peer.is_refused ()) << peer.caller->in;
+  // The one at the endpoint still gets its answer.
+  raw_upstream::write (
+      *peer.held[0],
+      answer_text (peer.cluster.nodes[1]->upstream.requests[0], "ran"));
+  EXPECT_TRUE (
+      peer.cluster.run_until ([&] { return body_of (first->in) == "ran"; }));
+  bufferevent_free (first->bev);
+}
+
+// Guards against an answer that has begun and is cut off well before the end of
+// the grace period, while its caller reads it.
+TEST (RelayStop, AnswerThatIsBeingReadIsNotGivenUp)
+{
+  stopping_node node;
+  raw_upstream &upstream = node.cluster.nodes[0]->upstream;
+  const size_t bytes = 16 * 1024 * 1024;
+  auto caller = node.cluster.connect ();
+
+  upstream.answer = [&] (raw_upstream &, raw_conn &conn,
+                         const std::string &request) {
+    raw_upstream::write (conn, answer_text (request, std::string (bytes, 'a')));
+  };
+  bufferevent_disable (caller->bev, EV_READ);
+  raw_upstream::write (*caller, request_text ("GET", "/safe/a", "r1"));
+  node.cluster.run_ms (100);
+  node.stop ();
+  eel_relay_end_open (&node.cluster.nodes[0]->relay);
+  node.run_and_close_idle (50);
+  EXPECT_FALSE (node.is_idle ());
+  bufferevent_enable (caller->bev, EV_READ);
+  EXPECT_TRUE (node.cluster.run_until (
+      [&] { return body_of (caller->in).size () == bytes; }));
+  bufferevent_free (caller->bev);
+}
