Resume reading from a caller whose request has ended while paused

Callers saw: after some thousand uploads that an endpoint had answered early, a node that said it was ready closed each new connection unread, for good.

Cause: while more than 256 KiB of a body wait for the endpoint, reading from the caller pauses; only the attempt that drains resumes it. When the request ends first, nobody did: the rest of the body was never read, and the caller's close was not seen. Each such upload left a connection, up to the limit of 3,000.

Change: the end of an answer resumes reading, whoever paused it and for whatever reason the request ended, so that no pair of pause and resume has to know of the others. A caller that never sends the rest of an answered request is closed after the time-out of heads.

--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -316,8 +316,11 @@
 static void
 on_read (struct bufferevent *bev, void *data)
 {
+  struct eel_conn *conn = data;
+
   (void)bev;
-  eel_conn_feed (data);
+  conn->last_read_us = eel_clock_us ();
+  eel_conn_feed (conn);
 }
 
 static void
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -24,6 +24,7 @@
   /* Latest deadline of the answers sent. */
   int64_t answer_deadline_us;
   struct eel_socket_watch watch;
+  int64_t last_read_us;
   /* eel_conn_feed runs; guards against recursion. */
   uint8_t feeding;
   uint8_t is_closed;
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "internal/reason.h"
+#include "internal/task.h"
 #include "relay/conn.h"
 
 /* Appends an exchange to its connection; head is moved into it.  Returns NULL
@@ -98,7 +99,10 @@
 {
   eel_body_write_end (exchange->answer_framing, exchange->out);
   exchange->answer_done = 1;
+  exchange->answered_us = eel_clock_us ();
   exchange->state = NULL;
+  /* The rest of the request is read and discarded; who paused it is gone. */
+  eel_exchange_pause (exchange, 0);
   eel_conn_flush (exchange->conn);
 }
 
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -127,6 +127,10 @@
 
   if (conn->lingering)
     limit_us = LINGER_TIMEOUT_US;
+  /* The rest of a request that has its answer. */
+  if (conn->first != NULL && conn->first->answer_done)
+    return now_us - conn->last_read_us > limits->head_timeout_us
+           && now_us - conn->first->answered_us > limits->head_timeout_us;
   return conn->count == 0 && now_us - conn->phase_start_us > limit_us;
 }
 
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -71,6 +71,7 @@
   /* When the peer stops waiting for the answer; 0: unknown.  Set by the owner.
    */
   int64_t deadline_us;
+  int64_t answered_us;
   enum eel_framing answer_framing;
   uint8_t request_done;
   uint8_t answer_started;
