--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -60,7 +60,8 @@
   return revision > 0 && revision >= published->removals_since;
 }
 
-/* Returns a free slot, or that of the removed item with the least revision. */
+/* Returns a free slot, or that of the removed or empty item with the least
+   revision. */
 static struct eel_published_item *
 acquire_slot (struct eel_published *published)
 {
@@ -73,7 +74,7 @@
       return oldest;
     }
   for (uint32_t i = 0; i < published->count; i++)
-    if (published->items[i].data == NULL
+    if ((published->items[i].data == NULL || published->items[i].bytes == 0)
         && (oldest == NULL || published->items[i].revision < oldest->revision))
       oldest = &published->items[i];
   if (oldest == NULL)
--- a/tests/run/test_platformd.sh
+++ b/tests/run/test_platformd.sh
@@ -38,6 +38,15 @@
 	sleep 0.3
 	fleet_ask 2 a5 /new/x
 	fleet_ask 2 a6 /once/y
+	echo "== large entries of another writer hold up no configuration"
+	head -c 1048576 /dev/zero | tr '\0' x >"$FLEET_DIR/large"
+	for i in 1 2 3 4 5 6; do
+		store_put "servers/large$i" "@$FLEET_DIR/large"
+	done
+	fleet_config 7 /safe/ /new/ /after/
+	fleet_until fleet_returns 200 2 /after/x
+	fleet_until fleet_returns 200 3 /after/x
+	fleet_ask 3 a14 /after/x
 	echo "== a draining endpoint gets no requests"
 	fleet_entry 2 up-2 draining
 	fleet_until grep -q "id=up-2 .*state=draining" "$FLEET_DIR/node2.out"
