Recognise requests with long bodies that crash endpoints

Callers saw: a request of 200,000 bytes crashed each endpoint that it came to, 24 times in a minute, and lookups at work there failed with it.

Cause: the fingerprint was the hash of the whole body, known at its end only. A body above 64 KiB was passed on before, since it is not held, so that its request was marked but never refused.

Change: of a body the first 64 KiB count, and of a longer one its declared length. So the fingerprint of any request is known before anything of it is sent, with the memory that holding a request took already. A run is marked by it as soon as it is known, also if the endpoint ends before it has the whole body. Two long requests of one caller, path and length with the same first 64 KiB count as one: a refusal of both for a minute (503, true) is the price of bounded memory.

Test: BodyThatCrashesTwoEndpointsReachesNoThird plays bodies of 6 bytes to 1 MB, two of them at either side of the bound; from 65,537 bytes on the old code let a third endpoint run the request.

--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -57,7 +57,7 @@
   const char *request_id;
   const char *caller_service;
   const char *instance_id;
-  /* From eel_crash_content_fingerprint; 0 until the body is complete. */
+  /* From eel_crash_content_fingerprint; 0 until enough of the body is known. */
   uint64_t fingerprint;
   uint64_t route;
   /* Target time of the route; 0 for a request from a peer, which doesn't send
--- a/src/relay/crash.c
+++ b/src/relay/crash.c
@@ -16,7 +16,7 @@
 static void
 add_text (struct eel_crash_content *content, const char *text)
 {
-  eel_crash_content_add (content, text, strlen (text) + 1);
+  XXH64_update (&content->hash, text, strlen (text) + 1);
 }
 
 void
@@ -25,6 +25,9 @@
                         const char *caller_service)
 {
   XXH64_reset (&content->hash, 0);
+  content->body_bytes = 0;
+  content->declared_bytes
+      = request->framing == EEL_FRAMING_LENGTH ? request->length_bytes : 0;
   add_text (content, caller_service);
   add_text (content, request->method);
   add_text (content, eel_head_target (request));
@@ -36,17 +39,35 @@
                        const void *data,
                        size_t bytes)
 {
-  XXH64_update (&content->hash, data, bytes);
+  uint64_t left = content->body_bytes < EEL_CRASH_BODY_BYTES
+                      ? EEL_CRASH_BODY_BYTES - content->body_bytes
+                      : 0;
+
+  XXH64_update (&content->hash, data, bytes < left ? bytes : (size_t)left);
+  content->body_bytes += bytes;
 }
 
 uint64_t
 eel_crash_content_fingerprint (const struct eel_crash_content *content)
 {
-  uint64_t hash = XXH64_digest (&content->hash);
+  XXH64_state_t state = content->hash;
+  uint64_t hash;
 
+  if (content->body_bytes > EEL_CRASH_BODY_BYTES)
+    XXH64_update (&state, &content->declared_bytes,
+                  sizeof content->declared_bytes);
+  hash = XXH64_digest (&state);
   return hash == 0 ? 1 : hash;
 }
 
+uint64_t
+eel_crash_content_known (const struct eel_crash_content *content)
+{
+  return content->body_bytes > EEL_CRASH_BODY_BYTES
+             ? eel_crash_content_fingerprint (content)
+             : 0;
+}
+
 void
 eel_crash_write (const struct eel_relay *relay, struct evbuffer *out)
 {
--- a/src/relay/crash.h
+++ b/src/relay/crash.h
@@ -13,11 +13,18 @@
 struct eel_relay;
 struct evbuffer;
 
+/* Bytes of a body that tell requests apart; of a longer one its declared length
+   counts too.  A node holds no more than this of a body. */
+#define EEL_CRASH_BODY_BYTES 65536
+
 /* Hash of what a request that is sent again has in common with the first one:
    caller service, method, target and body. */
 struct eel_crash_content
 {
   XXH64_state_t hash;
+  uint64_t body_bytes;
+  /* 0: not declared. */
+  uint64_t declared_bytes;
 };
 
 void eel_crash_content_init (struct eel_crash_content *content,
@@ -26,9 +33,11 @@
 void eel_crash_content_add (struct eel_crash_content *content,
                             const void *data,
                             size_t bytes);
-/* Returns the fingerprint of the whole request; never 0. */
+/* Returns the fingerprint of a request whose body is complete; never 0. */
 uint64_t
 eel_crash_content_fingerprint (const struct eel_crash_content *content);
+/* Returns the same as soon as the rest of the body doesn't count, else 0. */
+uint64_t eel_crash_content_known (const struct eel_crash_content *content);
 /* Writes the newest quarantine entry, if any, as an Eel-Crashed field. */
 void eel_crash_write (const struct eel_relay *relay, struct evbuffer *out);
 /* Merges the Eel-Crashed field of another node's message, if any. */
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -8,9 +8,8 @@
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
 
-/* A longer body is not buffered, so the request can't be retried, nor held back
-   until the body is known. */
-#define REPLAY_BYTES_MAX 65536
+/* A longer body is not buffered, so the request can't be retried. */
+#define REPLAY_BYTES_MAX EEL_CRASH_BODY_BYTES
 /* Reading the request's body pauses while more than this waits to be sent. */
 #define BODY_PENDING_BYTES_MAX 262144
 /* For requests whose route's settings are not known. */
@@ -246,14 +245,15 @@
   struct eel_entry *entry = exchange->state;
 
   eel_crash_content_add (&entry->content, data, bytes);
-  if (entry->held_back
-      && evbuffer_get_length (entry->replay) + bytes > REPLAY_BYTES_MAX)
+  entry->call.fingerprint = eel_crash_content_known (&entry->content);
+  if (entry->held_back && entry->call.fingerprint != 0)
     place (entry);
   if (exchange->state == NULL)
     return;
   keep_for_replay (entry, data, bytes);
   if (entry->attempt == NULL)
     return;
+  entry->attempt->call.fingerprint = entry->call.fingerprint;
   eel_attempt_body (entry->attempt, data, bytes);
   if (eel_attempt_pending_bytes (entry->attempt) > BODY_PENDING_BYTES_MAX)
     eel_exchange_pause (exchange, 1);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -303,6 +303,7 @@
   else
     {
       eel_crash_content_add (&run->content, data, bytes);
+      run->attempt->call.fingerprint = eel_crash_content_known (&run->content);
       eel_attempt_body (run->attempt, data, bytes);
     }
   if (eel_attempt_pending_bytes (run->attempt) > BODY_PENDING_BYTES_MAX)
--- a/tests/unit/test_relay_crash.cc
+++ b/tests/unit/test_relay_crash.cc
@@ -97,45 +97,57 @@
 }
 
 // Guards against a request with a body that crashes one endpoint after the
-// other: only its body tells it from others of the same method and path.
+// other: only its body tells it from others of the same method and path.  Long
+// bodies are recognised as well (review/3).
 TEST (Relay, BodyThatCrashesTwoEndpointsReachesNoThird)
 {
   const std::string long_body (100000, 'a');
 
-  for (bool chunked : { false, true })
-    {
-      relay_cluster cluster (4);
-
-      list_fragile_upstreams (cluster, "oison");
-      cluster.set_routes ();
-      auto post = [&cluster, chunked] (const std::string &id,
-                                       const std::string &body) {
-        return cluster.send_request (
-            chunked ? chunked_text ("POST", "/once/order", id, body)
-                    : request_text ("POST", "/once/order", id, "", body));
-      };
-      size_t ran = 0;
-      for (int n = 0; n < 6; n++)
-        {
-          std::string id = std::to_string (n);
-
-          post ("bad" + id, "poison");
-          for (int other = 0; other < 12; other++)
-            EXPECT_EQ (
-                post ("x" + id + "-" + std::to_string (other), "fine" + id)
-                    .substr (9, 3),
-                "200");
-        }
-      for (auto &node : cluster.nodes)
-        for (const std::string &request : node->upstream.requests)
-          ran += request.find ("oison") != std::string::npos;
-      EXPECT_EQ (ran, 2u) << chunked;
-      std::string last = post ("last", "poison");
-      EXPECT_EQ (last.substr (9, 3), "503") << chunked;
-      EXPECT_NE (field_of (last, "Retry-After"), "");
-      // A body that is too long to be held is passed on as it arrives.
-      EXPECT_EQ (post ("long", long_body).substr (9, 3), "200") << chunked;
-    }
+  for (size_t more : { 0, 60000, 65530, 65531, 200000, 1000000 })
+    for (bool chunked : { false, true })
+      {
+        const std::string rest (more, '.');
+        relay_cluster cluster (4);
+
+        list_fragile_upstreams (cluster, "oison");
+        cluster.set_routes ();
+        auto post = [&cluster, chunked] (const std::string &id,
+                                         const std::string &body) {
+          return cluster.send_request (
+              chunked ? chunked_text ("POST", "/once/order", id, body)
+                      : request_text ("POST", "/once/order", id, "", body));
+        };
+        // A long body can't be sent to another endpoint, so that its caller
+        // has to come back where an endpoint is down.
+        auto serve = [&post, more] (const std::string &id,
+                                    const std::string &body) {
+          std::string answer = post (id, body);
+
+          for (int n = 0; more > 0 && n < 4 && status_of (answer) == "503"; n++)
+            answer = post (id + "." + std::to_string (n), body);
+          return status_of (answer);
+        };
+        size_t ran = 0;
+        for (int n = 0; n < 6; n++)
+          {
+            std::string id = std::to_string (n);
+
+            post ("bad" + id, "poison" + rest);
+            for (int other = 0; other < 12; other++)
+              EXPECT_EQ (serve ("x" + id + "-" + std::to_string (other),
+                                "fine" + id + rest),
+                         "200");
+          }
+        for (auto &node : cluster.nodes)
+          for (const std::string &request : node->upstream.requests)
+            ran += request.find ("oison") != std::string::npos;
+        EXPECT_EQ (ran, 2u) << chunked << " " << more;
+        std::string last = post ("last", "poison" + rest);
+        EXPECT_EQ (last.substr (9, 3), "503") << chunked << " " << more;
+        EXPECT_NE (field_of (last, "Retry-After"), "");
+        // Another long body is passed on once it is known to be another.
+        EXPECT_EQ (serve ("long", long_body), "200") << chunked << " " << more;
+      }
 }
 
 // Guards against a crash that nobody notices because the next requests avoid
