End answers that have begun and stop halfway

Callers saw: an answer of more than 64 KiB that its endpoint stopped halfway kept the caller's connection, the entry and the endpoint's slot for good when the request had entered beside the endpoint. With another node between them it ended 250 ms after the deadline.

Cause: once an answer has begun, the timer of the deadline did nothing, and nothing else ends the entry.

Change: the timer runs once more, 1 s later, and then the answer is truncated by closing its connection, with the line answer_overdue.

Test: slow_test.AnswersThatStopHalfwayEnd failed before (one connection and one slot left after 3 s) and passes.

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -2,6 +2,7 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +13,8 @@
 #define REPLAY_BYTES_MAX EEL_CRASH_BODY_BYTES
 /* Reading the request's body pauses while more than this waits to be sent. */
 #define BODY_PENDING_BYTES_MAX 262144
+/* How long after its deadline an answer that has begun may end. */
+#define LATE_ANSWER_US (1 * EEL_US_PER_S)
 /* For requests whose route's settings are not known. */
 #define DEFAULT_RETRY_AFTER_US (300 * EEL_US_PER_MS)
 /* Other nodes can serve the request at once. */
@@ -52,16 +55,26 @@
                                                      : EEL_ERROR_OVERLOADED);
 }
 
-/* An answer that has begun continues past the deadline. */
+/* An answer that has begun continues past the deadline for a while. */
 static void
 on_deadline (evutil_socket_t fd, short what, void *data)
 {
+  const struct timeval late = { .tv_sec = LATE_ANSWER_US / EEL_US_PER_S };
   struct eel_entry *entry = data;
 
   (void)fd;
   (void)what;
-  if (!entry->committed)
-    eel_entry_terminate (entry);
+  if (entry->committed && !entry->overdue)
+    {
+      entry->overdue = 1;
+      if (event_add (entry->deadline, &late) == 0)
+        return;
+    }
+  if (entry->committed)
+    g_message ("event=answer_overdue request=%s instance=%s",
+               entry->call.request_id != NULL ? entry->call.request_id : "-",
+               entry->call.instance_id);
+  eel_entry_terminate (entry);
 }
 
 static int
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -50,6 +50,8 @@
   uint8_t has_head;
   /* The answer's head has been sent to the caller. */
   uint8_t committed;
+  /* It has begun but was not complete at the deadline. */
+  uint8_t overdue;
 };
 
 void eel_entry_free (struct eel_entry *entry);
--- a/tests/unit/test_relay_slow.cc
+++ b/tests/unit/test_relay_slow.cc
@@ -138,3 +138,37 @@
       LIMIT_MS - UPLOAD_STALL_MS))
       << conn->in.substr (0, 200);
 }
+
+// Guards against an answer that has begun, stops halfway and is never ended by
+// the node beside the endpoint.
+TEST_F (slow_test, AnswersThatStopHalfwayEnd)
+{
+  std::vector<std::unique_ptr<raw_conn>> callers;
+
+  cluster.set_routes (500);
+  cluster.nodes[1]->upstream.answer
+      = [] (raw_upstream &, raw_conn &conn, const std::string &request) {
+          std::string whole = answer_text (request, std::string (200000, 'a'));
+
+          raw_upstream::write (conn, whole.substr (0, 100000));
+        };
+  for (size_t node : { 0, 1 })
+    {
+      callers.push_back (cluster.connect (node));
+      raw_upstream::write (
+          *callers.back (),
+          request_text ("GET", "/safe/x", "r" + std::to_string (node)));
+    }
+  EXPECT_TRUE (cluster.run_until (
+      [&] { return callers[0]->closed && callers[1]->closed; }, 3000));
+  for (auto &node : cluster.nodes)
+    {
+      EXPECT_EQ (node->relay.callers.conn_count, 0u);
+      EXPECT_EQ (node->relay.gate.running, 0u);
+    }
+  for (auto &caller : callers)
+    {
+      EXPECT_LT (body_of (caller->in).size (), 200000u);
+      bufferevent_free (caller->bev);
+    }
+}
