Detach the exchanges of a connection before they are released

Callers saw nothing yet; a stopping process could end by a signal, and cut every request it had.

Cause: an answer that closes its connection releases the requests behind it. Cancelling one that runs frees its slot, which may go to another request of the same connection; if that one is refused at once, its answer comes back to the connection, which released and freed the requests a second time.

Change: the list is taken off the connection before the first request is reported as disconnected. A request that is answered meanwhile stays valid until the outer loop reaches it.

Test: RelayStop.RequestRefusedWhileItsConnectionClosesIsFreedOnce ends the old code by a signal, without the sanitizers; it passes now.

--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -31,23 +31,27 @@
   free (conn);
 }
 
-/* Frees all exchanges; reports those without a complete answer as
-   disconnected. */
+/* Frees all exchanges; reports those without a complete answer as disconnected,
+   which may answer others of this connection: the list is detached first. */
 static void
 release_exchanges (struct eel_conn *conn)
 {
-  while (conn->first != NULL)
+  struct eel_exchange *exchange = conn->first;
+
+  conn->first = NULL;
+  conn->last = NULL;
+  conn->reading = NULL;
+  conn->count = 0;
+  while (exchange != NULL)
     {
-      struct eel_exchange *exchange = conn->first;
+      struct eel_exchange *next;
 
-      conn->first = exchange->next;
       if (exchange->state != NULL)
         conn->server->ops->disconnected (exchange);
+      next = exchange->next;
       eel_exchange_free (exchange);
+      exchange = next;
     }
-  conn->last = NULL;
-  conn->reading = NULL;
-  conn->count = 0;
 }
 
 /* Closes the socket; the struct is freed by the next sweep, since its reader
--- a/tests/unit/test_relay_stop.cc
+++ b/tests/unit/test_relay_stop.cc
@@ -236,3 +236,33 @@
       [&] { return body_of (caller->in).size () == bytes; }));
   bufferevent_free (caller->bev);
 }
+
+// Guards against memory that is freed twice when a stopping node closes a
+// pipelined connection: the end of one request refuses another one there.
+TEST (RelayStop, RequestRefusedWhileItsConnectionClosesIsFreedOnce)
+{
+  stopping_node node;
+  struct eel_relay &relay = node.cluster.nodes[0]->relay;
+  raw_upstream &upstream = node.cluster.nodes[0]->upstream;
+  std::vector<raw_conn *> held;
+  auto caller = node.cluster.connect ();
+
+  upstream.answer = [&] (raw_upstream &, raw_conn &conn, const std::string &) {
+    held.push_back (&conn);
+  };
+  eel_gate_set_slots (&relay.gate, 4);
+  for (int i = 0; i < 12; i++)
+    raw_upstream::write (
+        *caller, request_text ("GET", "/safe/a", "r" + std::to_string (i)));
+  EXPECT_TRUE (node.cluster.run_until (
+      [&] { return relay.gate.queued > 0 && held.size () >= 2; }));
+  // A request that starts from now on is refused.
+  strcpy (relay.actual_instance, "other");
+  relay.actual_until_us = eel_clock_us () + 10 * EEL_US_PER_S;
+  eel_relay_stop (&relay);
+  raw_upstream::write (*held[0], answer_text (upstream.requests[0], "ran"));
+  EXPECT_TRUE (node.cluster.run_until ([&] { return caller->closed; }));
+  EXPECT_EQ (body_of (caller->in), "ran");
+  EXPECT_EQ (relay.callers.exchange_count, 0u);
+  bufferevent_free (caller->bev);
+}
