Let new connections displace idle ones at the limit

Change: the connection that has been idle for longest is closed for a new one. Only when all carry a request is a new one turned away. A line at most ten times a second counts both, and eel_relay_turned_away_total the latter.

Test: RelayIdle.NewCallersDisplaceIdleOnesAtTheLimit, with the limit at 3; the code before has no such behaviour or counter to test.

--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -115,6 +115,7 @@
   eel_relay_dispatch_queued (relay);
   eel_metric_set (relay->counters.cut_callers, relay->callers.cut);
   eel_metric_set (relay->counters.cut_peers, relay->peers.cut);
+  eel_metric_set (relay->counters.turned_away, relay->callers.refused);
   log_load (relay, now_us);
 }
 
@@ -143,6 +144,8 @@
            "Callers' connections that ended with an answer unsent.");
   COUNTER (cut_peers, "eel_relay_cut_peers_total",
            "Peers' connections that ended with an answer unsent.");
+  COUNTER (turned_away, "eel_relay_turned_away_total",
+           "Callers' new connections that were closed at the limit.");
 #undef COUNTER
   counters->latency = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
                                        "eel_relay_latency_seconds", "",
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -84,6 +84,8 @@
   /* Connections that ended with a part of an answer unsent. */
   struct eel_metric *cut_callers;
   struct eel_metric *cut_peers;
+  /* Connections of callers that were closed at the limit. */
+  struct eel_metric *turned_away;
   struct eel_metric *latency;
   struct eel_metric *hold;
 };
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -4,6 +4,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
+#include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 
 #include "eelgrasslatch/types.h"
@@ -28,6 +30,40 @@
 #define REQUEST_EXPECTED_US (200 * EEL_US_PER_MS)
 #define HEAD_EXPECTED_US (1 * EEL_US_PER_S)
 
+/* Closes the connection that has been idle for longest, so that a new caller is
+   not turned away for one that may never come back; 0 when none is idle. */
+static int
+make_room (struct eel_server *server)
+{
+  struct eel_conn *oldest = NULL;
+
+  for (struct eel_conn *conn = server->conns; conn != NULL; conn = conn->next)
+    if (conn->count == 0 && !conn->reader.started
+        && eel_conn_unsent_bytes (conn) == 0
+        && (oldest == NULL || conn->phase_start_us < oldest->phase_start_us))
+      oldest = conn;
+  if (oldest == NULL)
+    return 0;
+  server->displaced++;
+  eel_conn_close (oldest);
+  return 1;
+}
+
+/* Reports connections that were turned away or displaced at the limit. */
+static void
+log_limit (struct eel_server *server)
+{
+  uint64_t at_limit = server->refused + server->displaced;
+
+  if (at_limit == server->limit_logged)
+    return;
+  g_message ("event=connection_limit server=%s limit=%u refused=%" PRIu64
+             " displaced=%" PRIu64,
+             server->ops->name, server->max_conns, server->refused,
+             server->displaced);
+  server->limit_logged = at_limit;
+}
+
 static void
 on_accept (struct evconnlistener *listener,
            evutil_socket_t fd,
@@ -40,7 +76,7 @@
   (void)listener;
   (void)address;
   (void)bytes;
-  if (server->conn_count >= server->max_conns)
+  if (server->conn_count >= server->max_conns && !make_room (server))
     {
       server->refused++;
       evutil_closesocket (fd);
@@ -140,6 +176,7 @@
   struct eel_conn *conn = server->conns;
 
   free_closed (server);
+  log_limit (server);
   while (conn != NULL)
     {
       struct eel_conn *next = conn->next;
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -54,7 +54,10 @@
   /* Each answer carries Connection: close. */
   uint8_t closing;
   uint64_t accepted;
+  /* At the limit: closed unread, and idle ones closed for new ones. */
   uint64_t refused;
+  uint64_t displaced;
+  uint64_t limit_logged;
   /* Connections that ended with a part of an answer unsent, or timed out. */
   uint64_t cut;
 };
--- a/tests/unit/test_relay_idle.cc
+++ b/tests/unit/test_relay_idle.cc
@@ -36,3 +36,45 @@
     }
   EXPECT_EQ (lost, 1);
 }
+
+// Guards against a node that turns new callers away because of connections on
+// which nothing happens, and does so without a trace.
+TEST (RelayIdle, NewCallersDisplaceIdleOnesAtTheLimit)
+{
+  relay_cluster cluster{ 1 };
+  struct eel_relay &relay = cluster.nodes[0]->relay;
+  std::vector<std::unique_ptr<raw_conn>> callers;
+  std::vector<raw_conn *> held;
+
+  cluster.list_upstream (0);
+  cluster.set_routes ();
+  cluster.nodes[0]->upstream.answer
+      = [&] (raw_upstream &, raw_conn &conn, const std::string &) {
+          held.push_back (&conn);
+        };
+  relay.callers.max_conns = 3;
+  for (int i = 0; i < 3; i++)
+    {
+      callers.push_back (cluster.connect ());
+      cluster.run_ms (20);
+    }
+  EXPECT_EQ (relay.callers.displaced, 0u);
+  for (int i = 0; i < 4; i++)
+    {
+      callers.push_back (cluster.connect ());
+      raw_upstream::write (
+          *callers.back (),
+          request_text ("GET", "/safe/x", "r" + std::to_string (i)));
+      cluster.run_ms (50);
+    }
+  // One request more than connections that are idle.
+  EXPECT_TRUE (callers[0]->closed && callers[1]->closed && callers[2]->closed);
+  EXPECT_TRUE (callers[6]->closed);
+  EXPECT_FALSE (callers[3]->closed || callers[4]->closed || callers[5]->closed);
+  EXPECT_EQ (relay.callers.displaced, 3u);
+  EXPECT_EQ (relay.callers.refused, 1u);
+  cluster.run_ms (150);
+  EXPECT_EQ (relay.counters.turned_away->value, 1u);
+  for (auto &caller : callers)
+    bufferevent_free (caller->bev);
+}
