Take endpoints whose id is as long as a key allows

Callers could see: an endpoint with an id of 80 to 192 bytes got no request, and no line told why.

Cause: the directory kept 79 bytes of an id and the entry's decoder refused longer ones. A key has up to 200 bytes, 8 of them before the id.

Change: the directory has room for 192. 4,096 entries take 0.5 MB more.

Longer ids can't be written down as keys, which OddItemsDoNotKeep- TheOthersFromBeingApplied covers. RelayRoutes.EndpointWithTheLongestId- Serves sends a request to such an endpoint from another node.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -13,7 +13,9 @@
  * dropped then was withdrawn.
  */
 
-#define EEL_INSTANCE_ID_MAX 80
+/* With the end of the text: keys of the registry have up to 200 bytes, and 8 of
+   them stand before the id. */
+#define EEL_INSTANCE_ID_MAX 193
 /* After an outage of the registry a live endpoint is back within 2 s of its
    end, which is noticed a little later. */
 #define EEL_LAPSED_GRACE_US (1800 * EEL_US_PER_MS)
--- a/tests/unit/test_relay_routes.cc
+++ b/tests/unit/test_relay_routes.cc
@@ -23,3 +23,21 @@
   EXPECT_NE (field_of (answer, "Retry-After"), "");
   EXPECT_EQ (cluster.nodes[0]->upstream.requests.size (), 1u);
 }
+
+// Guards against an endpoint that is never used because its id is long.
+TEST (RelayRoutes, EndpointWithTheLongestIdServes)
+{
+  relay_cluster cluster{ 2 };
+
+  cluster.nodes[1]->id = std::string (192, 'i');
+  cluster.list_upstream (1);
+  cluster.set_routes ();
+  cluster.nodes[1]->upstream.answer
+      = [] (raw_upstream &, raw_conn &conn, const std::string &request) {
+          raw_upstream::write (
+              conn, answer_text (request, field_of (request, "Want")));
+        };
+  EXPECT_EQ (body_of (cluster.send_request (
+                 request_text ("POST", "/once/x", "r1"), 0)),
+             std::string (192, 'i'));
+}
