Answer late uploads of a stopping node with a line; lint

A request that is refused because its body came late in a planned stop now has the line not_served with error=leaving, as every other refusal of an entry has, and the Retry-After of a stopping node. The linter took the two ways out of place () for a use after free and pointers to an aggregate in sizeof for a mistake; both are written in another way.

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -17,8 +17,6 @@
 #define LATE_ANSWER_US (1 * EEL_US_PER_S)
 /* For requests whose route's settings are not known. */
 #define DEFAULT_RETRY_AFTER_US (300 * EEL_US_PER_MS)
-/* Other nodes can serve the request at once. */
-#define LEAVING_RETRY_AFTER_US (10 * EEL_US_PER_MS)
 
 /* Cancels a running attempt; the exchange stays open. */
 void
@@ -159,7 +157,8 @@
     }
   if (relay->refusing)
     {
-      eel_entry_refuse (exchange, EEL_ERROR_LEAVING, LEAVING_RETRY_AFTER_US);
+      eel_entry_refuse (exchange, EEL_ERROR_LEAVING,
+                        EEL_ENTRY_LEAVING_RETRY_US);
       return NULL;
     }
   route = eel_route_table_find (relay->routes, host,
@@ -176,15 +175,10 @@
 static void
 place (struct eel_entry *entry)
 {
-  struct eel_exchange *exchange = entry->exchange;
-
   entry->held_back = 0;
   /* It may have waited for its body since before the node refuses requests. */
   if (entry->relay->refusing)
-    {
-      eel_entry_free (entry);
-      eel_entry_refuse (exchange, EEL_ERROR_LEAVING, LEAVING_RETRY_AFTER_US);
-    }
+    eel_entry_answer_error (entry, EEL_ERROR_LEAVING);
   else if (entry->call.fingerprint != 0
            && eel_quarantine_check (&entry->relay->quarantine,
                                     entry->call.fingerprint, eel_clock_us ())
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -11,6 +11,9 @@
 /* Attempts of one request, including those that reach no endpoint. */
 #define EEL_ENTRY_TRIES_MAX 6
 
+/* Retry-After of a stopping node: others can serve the request at once. */
+#define EEL_ENTRY_LEAVING_RETRY_US (10 * EEL_US_PER_MS)
+
 struct event;
 
 struct eel_entry
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -114,6 +114,8 @@
       (entry->call.deadline_us - now_us) / EEL_US_PER_MS,
       eel_entry_gate_pressure (&relay->entry_gate, entry->call.route, now_us),
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route));
+  if (reported == EEL_ERROR_LEAVING)
+    after_us = EEL_ENTRY_LEAVING_RETRY_US;
   if (entry->tried_count > 0)
     report_outcome (entry, 1);
   relay->entry_failed_us = now_us;
--- a/src/relay/service_retries.c
+++ b/src/relay/service_retries.c
@@ -16,9 +16,9 @@
 eel_service_retries_finish (struct eel_service_retries *retries)
 {
   for (uint32_t i = 0; i < retries->count; i++)
-    free (retries->shares[i]);
-  free (retries->shares);
-  retries->shares = NULL;
+    free (retries->slots[i].share);
+  free (retries->slots);
+  retries->slots = NULL;
   retries->count = 0;
 }
 
@@ -28,8 +28,8 @@
 {
   retries->extra = extra;
   for (uint32_t i = 0; i < retries->count; i++)
-    if (retries->shares[i] != NULL)
-      retries->shares[i]->extra = extra;
+    if (retries->slots[i].share != NULL)
+      retries->slots[i].share->extra = extra;
 }
 
 /* Makes room for the number of a service; 0 when out of memory. */
@@ -37,16 +37,15 @@
 reserve (struct eel_service_retries *retries, uint32_t service)
 {
   uint32_t count = 2 * (service + 1);
-  struct eel_retry_share **shares;
+  struct eel_service_retries_slot *slots;
 
   if (service < retries->count)
     return 1;
-  shares = realloc (retries->shares, count * sizeof *shares);
-  if (shares == NULL)
+  slots = realloc (retries->slots, count * sizeof *slots);
+  if (slots == NULL)
     return 0;
-  memset (shares + retries->count, 0,
-          (count - retries->count) * sizeof *shares);
-  retries->shares = shares;
+  memset (slots + retries->count, 0, (count - retries->count) * sizeof *slots);
+  retries->slots = slots;
   retries->count = count;
   return 1;
 }
@@ -61,16 +60,16 @@
 
   if (!reserve (retries, service))
     return;
-  if (retries->shares[service] == NULL)
+  if (retries->slots[service].share == NULL)
     {
       share = malloc (sizeof *share);
       if (share == NULL)
         return;
       eel_retry_share_init (share, retries->ratio, retries->extra,
                             retries->window_us, now_us);
-      retries->shares[service] = share;
+      retries->slots[service].share = share;
     }
-  eel_retry_share_request (retries->shares[service], now_us);
+  eel_retry_share_request (retries->slots[service].share, now_us);
 }
 
 int
@@ -79,8 +78,9 @@
                           uint32_t cost_milli,
                           int64_t now_us)
 {
-  return service < retries->count && retries->shares[service] != NULL
-         && eel_retry_share_take (retries->shares[service], cost_milli, now_us);
+  return service < retries->count && retries->slots[service].share != NULL
+         && eel_retry_share_take (retries->slots[service].share, cost_milli,
+                                  now_us);
 }
 
 void
@@ -89,6 +89,6 @@
 {
   if (service >= retries->count)
     return;
-  free (retries->shares[service]);
-  retries->shares[service] = NULL;
+  free (retries->slots[service].share);
+  retries->slots[service].share = NULL;
 }
--- a/src/relay/service_retries.h
+++ b/src/relay/service_retries.h
@@ -7,13 +7,19 @@
 
 /* The retry share of each service, made with the service's first request. */
 
+struct eel_service_retries_slot
+{
+  /* NULL: no request yet. */
+  struct eel_retry_share *share;
+};
+
 struct eel_service_retries
 {
   double ratio;
   double extra;
   int64_t window_us;
-  /* By number of the service; NULL: no request yet. */
-  struct eel_retry_share **shares;
+  /* By number of the service. */
+  struct eel_service_retries_slot *slots;
   uint32_t count;
 };
 
