--- a/Makefile
+++ b/Makefile
@@ -199,6 +199,7 @@
 	@clang-format --dry-run -Werror $(SOURCES)
 
 lint:
+	@sh tools/check_limits.sh
 	@cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
 		--suppress=missingIncludeSystem --enable=warning,portability \
 		$(INCS) $(C_SOURCES)
