--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -24,28 +24,6 @@
   evbuffer_drain (input, bytes);
 }
 
-// Returns the length of the first request in the text, 0 if it is incomplete.
-static size_t
-request_bytes (const std::string &in)
-{
-  size_t head = in.find ("\r\n\r\n");
-  std::string length
-      = head == std::string::npos
-            ? ""
-            : field_of (in.substr (0, head + 2), "Content-Length");
-
-  if (head == std::string::npos)
-    return 0;
-  head += 4;
-  if (in.substr (0, head).find ("chunked") != std::string::npos)
-    {
-      size_t end = in.find ("0\r\n\r\n", head);
-      return end == std::string::npos ? 0 : end + 5;
-    }
-  size_t whole = head + (length.empty () ? 0 : std::stoul (length));
-  return in.size () >= whole ? whole : 0;
-}
-
 struct upstream_arg
 {
   raw_upstream *upstream;
--- a/tests/unit/relay_cluster.h
+++ b/tests/unit/relay_cluster.h
@@ -98,6 +98,8 @@
                          const std::string &body,
                          const std::string &status = "200 OK",
                          const std::string &lines = "");
+// Returns the length of the first request in the text, 0 if it is incomplete.
+size_t request_bytes (const std::string &in);
 std::string field_of (const std::string &message, const std::string &name);
 std::string status_of (const std::string &answer);
 std::string body_of (const std::string &answer);
--- a/tests/unit/relay_text.cc
+++ b/tests/unit/relay_text.cc
@@ -53,3 +53,24 @@
          + "\r\nProof: p\r\n" + lines + "Content-Length: "
          + std::to_string (body.size ()) + "\r\n\r\n" + body;
 }
+
+size_t
+request_bytes (const std::string &in)
+{
+  size_t head = in.find ("\r\n\r\n");
+  std::string length
+      = head == std::string::npos
+            ? ""
+            : field_of (in.substr (0, head + 2), "Content-Length");
+
+  if (head == std::string::npos)
+    return 0;
+  head += 4;
+  if (in.substr (0, head).find ("chunked") != std::string::npos)
+    {
+      size_t end = in.find ("0\r\n\r\n", head);
+      return end == std::string::npos ? 0 : end + 5;
+    }
+  size_t whole = head + (length.empty () ? 0 : std::stoul (length));
+  return in.size () >= whole ? whole : 0;
+}
