Hold the keys of teams as keyed hashes with constant look-ups

A team's keys are looked up for each request, must not be readable in memory that outlives a request's head, and a key that two teams hold must serve neither. The table hashes keys with SipHash-2-4 of 128 bits under a secret of the process; keys of teams that are left out are claimed too.

--- a/include/eelgrasslatch/team_table.h
+++ b/include/eelgrasslatch/team_table.h
@@ -21,6 +21,9 @@
 #define EEL_NO_TEAM UINT64_C (0)
 /* Bytes of the secret that keys are hashed with. */
 #define EEL_TEAM_SECRET_BYTES 16
+#define EEL_TEAM_KEY_HASH_BYTES 16
+/* In place of a team's index, for a key that is claimed but serves no team. */
+#define EEL_TEAM_LEFT_OUT UINT32_MAX
 
 struct eel_team
 {
@@ -37,7 +40,12 @@
   uint32_t key_count;
 };
 
-struct eel_team_key;
+struct eel_team_key
+{
+  uint8_t hash[EEL_TEAM_KEY_HASH_BYTES];
+  /* EEL_TEAM_LEFT_OUT: serves none. */
+  uint32_t team;
+};
 
 struct eel_team_table
 {
@@ -47,6 +55,12 @@
   struct eel_team_key *keys;
   uint32_t key_count;
   uint32_t key_capacity;
+  /* Open addressing, at most half full: index + 1 into teams by id and into
+     keys by hash; 0: empty.  The counts are powers of two. */
+  uint32_t *team_slots;
+  uint32_t team_slot_count;
+  uint32_t *key_slots;
+  uint32_t key_slot_count;
   uint8_t secret[EEL_TEAM_SECRET_BYTES];
   /* Keys that two teams hold: neither team is served by them. */
   uint32_t ambiguous_keys;
@@ -58,10 +72,12 @@
                           const uint8_t secret[EEL_TEAM_SECRET_BYTES]);
 void eel_team_table_finish (struct eel_team_table *table);
 /* Copies name and limits; returns the team's index, or -1 when a field is out
-   of range, the name is taken or memory runs out. */
+   of range, the name is taken or not fit for a header field, or memory runs
+   out. */
 int32_t eel_team_table_add (struct eel_team_table *table,
                             const struct eel_team *team);
-/* Adds a key of a team; 0 when it is empty, too long or memory runs out. */
+/* Adds a key of a team, or with EEL_TEAM_LEFT_OUT one that serves none even if
+   a team holds it too; 0 when it is empty, too long or memory runs out. */
 int eel_team_table_add_key (struct eel_team_table *table,
                             uint32_t team,
                             const char *key,
@@ -69,10 +85,8 @@
 /* Call after the last add and before the first find. */
 void eel_team_table_seal (struct eel_team_table *table);
 /* Returns the team that alone holds the key, or NULL. */
-const struct eel_team *
-eel_team_table_find_key (const struct eel_team_table *table,
-                         const char *key,
-                         size_t bytes);
+const struct eel_team *eel_team_table_find_key (
+    const struct eel_team_table *table, const char *key, size_t bytes);
 /* Returns the team with that id, or NULL. */
 const struct eel_team *eel_team_table_find (const struct eel_team_table *table,
                                             uint64_t id);
