Ask for a team's key at the entry and tell endpoints the team

Where the configuration has teams, a request without a known key gets 401 unless its route is public. The key ends at the entry node; what a caller says of its team is dropped, and the true name goes with the request to peers and endpoints, also when it is sent again. A team's rank goes before the route's. Without teams headers pass as before.

--- a/include/eelgrasslatch/route_table.h
+++ b/include/eelgrasslatch/route_table.h
@@ -31,6 +31,8 @@
   /* Hash of host and prefix, stable across versions, for counters. */
   uint64_t id;
   uint8_t idempotent;
+  /* Requests need no key of a team. */
+  uint8_t is_public;
   uint8_t attempts;
   /* 0 is the most important rank. */
   uint8_t rank;
--- a/src/error/error.c
+++ b/src/error/error.c
@@ -98,6 +98,11 @@
   = { "table_full", 503, REFUSED, SAME, 500, "a bounded table is full" },
   [EEL_ERROR_UNAUTHORIZED] = { "unauthorized", 401, REFUSED, NONE, 0,
                                "the operators' token is missing or wrong" },
+  [EEL_ERROR_TEAM_UNKNOWN] = { "team_unknown", 401, REFUSED, NONE, 0,
+                               "the request has no key of a known team" },
+  [EEL_ERROR_TEAMS_OUTDATED]
+  = { "teams_outdated", 503, REFUSED, SAME, 500,
+      "the node can't tell which keys are in force at present" },
   [EEL_ERROR_NOT_FOUND]
   = { "not_found", 404, REFUSED, NONE, 0, "there is no such resource" },
   [EEL_ERROR_INTERNAL]
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -194,6 +194,21 @@
                          (unsigned)(report->limit_milli % 1000));
 }
 
+/* A peer learns also that a request has no team. */
+static void
+write_team (const struct eel_attempt *attempt,
+            struct evbuffer *out,
+            int to_peer)
+{
+  const struct eel_relay_call *call = &attempt->call;
+
+  if (call->has_teams && (to_peer || call->team != NULL))
+    evbuffer_add_printf (out, "%s: %s\r\n",
+                         to_peer ? EEL_RELAY_TEAM
+                                 : attempt->relay->config.header_names->team,
+                         call->team != NULL ? call->team : "");
+}
+
 /* Writes the request's head, for the endpoint or (to_peer) for its node. Fields
    that this system sets are not copied from the caller. */
 void
@@ -204,19 +219,15 @@
   const struct eel_relay_call *call = &attempt->call;
   const struct eel_relay_header_names *header_names
       = attempt->relay->config.header_names;
-  const char *const skip[] = { header_names->remaining_ms,
-                               header_names->expected_instance,
-                               header_names->caller_service,
-                               EEL_RELAY_CALL,
-                               EEL_RELAY_LOAD,
-                               EEL_RELAY_REFUSED,
-                               EEL_RELAY_CRASHED,
-                               EEL_RELAY_CRASH,
-                               EEL_RELAY_CLEARED,
-                               EEL_RELAY_NEWS,
-                               EEL_RELAY_LIMIT,
-                               EEL_RELAY_LEAVING,
-                               NULL };
+  const char *const skip[]
+      = { header_names->remaining_ms, header_names->expected_instance,
+          header_names->caller_service, EEL_RELAY_CALL, EEL_RELAY_LOAD,
+          EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, EEL_RELAY_CRASH,
+          EEL_RELAY_CLEARED, EEL_RELAY_NEWS, EEL_RELAY_LIMIT, EEL_RELAY_LEAVING,
+          EEL_RELAY_TEAM,
+          /* Without teams the list ends here. */
+          call->has_teams ? header_names->authorization : NULL,
+          header_names->team, NULL };
   int64_t now_us = eel_clock_us ();
 
   evbuffer_add_printf (out, "%s %s HTTP/1.1\r\n", call->request->method,
@@ -229,6 +240,7 @@
   if (call->instance_id != NULL)
     evbuffer_add_printf (out, "%s: %s\r\n", header_names->expected_instance,
                          call->instance_id);
+  write_team (attempt, out, to_peer);
   if (to_peer)
     eel_crash_write (attempt->relay, call->fingerprint, out);
   if (to_peer)
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -69,10 +69,21 @@
   uint32_t service;
   uint8_t rank;
   uint8_t idempotent;
+  /* Teams are in force: endpoints get no other word of a team than this, nor
+     the caller's key. */
+  uint8_t has_teams;
+  /* NULL: none. */
+  const char *team;
+  /* eel_team_id of the name, or EEL_NO_TEAM. */
+  uint64_t team_id;
   int64_t target_us;
   int64_t deadline_us;
 };
 
+/* Reads the team that a peer names. */
+void eel_relay_read_team (const struct eel_head *request,
+                          struct eel_relay_call *call);
+
 struct eel_attempt_kind
 {
   void (*start) (struct eel_attempt *attempt);
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -106,7 +106,9 @@
 }
 
 static struct eel_entry *
-entry_new (struct eel_exchange *exchange, struct eel_route *route)
+entry_new (struct eel_exchange *exchange,
+           struct eel_route *route,
+           const struct eel_team *team)
 {
   struct eel_relay *relay = eel_exchange_server (exchange)->owner;
   struct eel_entry *entry = calloc (1, sizeof *entry);
@@ -132,6 +134,7 @@
     .target_us = now_us + route->target_us,
     .deadline_us = now_us + time_limit_us (relay, &exchange->request, route),
   };
+  eel_entry_set_team (entry, team);
   exchange->state = entry;
   exchange->deadline_us = entry->call.deadline_us;
   eel_crash_content_init (&entry->content, &exchange->request,
@@ -142,11 +145,15 @@
   return NULL;
 }
 
-/* Returns the route, or answers the exchange and returns NULL. */
+/* Returns the route and sets the team, or answers the exchange and returns
+   NULL. */
 static struct eel_route *
-find_route (struct eel_relay *relay, struct eel_exchange *exchange)
+find_route (struct eel_relay *relay,
+            struct eel_exchange *exchange,
+            const struct eel_team **team)
 {
   const char *host = eel_head_get (&exchange->request, "host");
+  enum eel_error error;
   struct eel_route *route;
 
   if (relay->routes == NULL)
@@ -164,10 +171,19 @@
   route = eel_route_table_find (relay->routes, host,
                                 eel_head_target (&exchange->request));
   if (route == NULL)
-    eel_entry_refuse (exchange, EEL_ERROR_NOT_FOUND, 0);
-  else if (route->part_count == 0)
-    eel_entry_refuse (exchange, EEL_ERROR_NO_ENDPOINT, DEFAULT_RETRY_AFTER_US);
-  return route != NULL && route->part_count > 0 ? route : NULL;
+    {
+      eel_entry_refuse (exchange, EEL_ERROR_NOT_FOUND, 0);
+      return NULL;
+    }
+  error = eel_entry_find_team (relay, exchange, route, team);
+  if (error == EEL_OK && route->part_count == 0)
+    error = EEL_ERROR_NO_ENDPOINT;
+  if (error != EEL_OK)
+    eel_entry_refuse (exchange, error,
+                      eel_error_info (error)->http_status == 503
+                          ? DEFAULT_RETRY_AFTER_US
+                          : 0);
+  return error == EEL_OK ? route : NULL;
 }
 
 /* Offers the request to an endpoint unless requests of its content crash them.
@@ -200,13 +216,14 @@
 on_request (struct eel_exchange *exchange)
 {
   struct eel_relay *relay = eel_exchange_server (exchange)->owner;
-  struct eel_route *route = find_route (relay, exchange);
+  const struct eel_team *team = NULL;
+  struct eel_route *route = find_route (relay, exchange, &team);
   struct eel_entry *entry;
 
   eel_metric_add (relay->counters.requests, 1);
   if (route == NULL)
     return;
-  entry = entry_new (exchange, route);
+  entry = entry_new (exchange, route, team);
   if (entry == NULL)
     {
       eel_entry_refuse (exchange, EEL_ERROR_OVERLOADED, DEFAULT_RETRY_AFTER_US);
@@ -215,7 +232,7 @@
   eel_call_costs_count_call (&relay->call_costs, route->id);
   eel_service_retries_request (&relay->retries, entry->call.service,
                                entry->arrived_us);
-  if (!eel_entry_gate_admit (&relay->entry_gate, route->id, route->rank,
+  if (!eel_entry_gate_admit (&relay->entry_gate, route->id, entry->call.rank,
                              entry->arrived_us, &relay->rng))
     {
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -21,6 +21,8 @@
   struct eel_relay *relay;
   struct eel_exchange *exchange;
   struct eel_relay_call call;
+  /* Of call.team: the table of teams may be replaced meanwhile. */
+  char team[EEL_TEAM_NAME_MAX];
   struct eel_attempt *attempt;
   struct event *deadline;
   int64_t arrived_us;
@@ -74,6 +76,17 @@
                        enum eel_error error,
                        int64_t retry_after_us);
 
+/*
+ * Finds the team that holds the request's key, NULL if there is none.  Returns
+ * EEL_OK, or after a log line the kind of error to refuse the request with.
+ */
+enum eel_error eel_entry_find_team (struct eel_relay *relay,
+                                    const struct eel_exchange *exchange,
+                                    const struct eel_route *route,
+                                    const struct eel_team **team);
+/* Sets the team of a new entry; NULL: none. */
+void eel_entry_set_team (struct eel_entry *entry, const struct eel_team *team);
+
 extern const struct eel_attempt_ops eel_entry_attempt_ops;
 
 #endif
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -37,6 +37,8 @@
   if (lines != NULL && retry_after_us > 0)
     evbuffer_add_printf (lines, "Retry-After: %.3f\r\n",
                          (double)retry_after_us / EEL_US_PER_S);
+  if (lines != NULL && info->http_status == 401)
+    evbuffer_add_printf (lines, "WWW-Authenticate: Bearer\r\n");
   eel_exchange_answer (exchange, info->http_status, lines, EEL_FRAMING_LENGTH,
                        0);
   if (lines != NULL)
--- /dev/null
+++ b/src/relay/entry_team.c
@@ -0,0 +1,81 @@
+#include <glib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "relay/entry.h"
+
+/* The scheme of RFC 6750. */
+#define SCHEME "Bearer"
+
+/*
+ * Returns the key of a request and its length, or NULL and sets *reason.  Names
+ * of schemes ignore case (RFC 9110 section 11.1), keys do not.
+ */
+static const char *
+request_key (const struct eel_relay *relay,
+             const struct eel_head *request,
+             size_t *bytes,
+             const char **reason)
+{
+  const char *name = relay->config.header_names->authorization;
+  const char *value = eel_head_get (request, name);
+  size_t scheme = strlen (SCHEME);
+
+  *reason = "no key";
+  if (value == NULL)
+    return NULL;
+  *reason = "more than one key";
+  if (eel_head_get_nth (request, name, 1) != NULL)
+    return NULL;
+  *reason = "other scheme";
+  if (strncasecmp (value, SCHEME, scheme) != 0 || value[scheme] != ' ')
+    return NULL;
+  value += scheme + strspn (value + scheme, " ");
+  *bytes = strlen (value);
+  while (*bytes > 0 && (value[*bytes - 1] == ' ' || value[*bytes - 1] == '\t'))
+    (*bytes)--;
+  *reason = "unknown key";
+  return value;
+}
+
+enum eel_error
+eel_entry_find_team (struct eel_relay *relay,
+                     const struct eel_exchange *exchange,
+                     const struct eel_route *route,
+                     const struct eel_team **team)
+{
+  const char *id = eel_head_get (&exchange->request,
+                                 relay->config.header_names->request_id);
+  const char *reason;
+  const char *key;
+  size_t bytes = 0;
+
+  *team = NULL;
+  if (relay->teams == NULL)
+    return EEL_OK;
+  key = request_key (relay, &exchange->request, &bytes, &reason);
+  if (key != NULL)
+    *team = eel_team_table_find_key (relay->teams, key, bytes);
+  if (*team != NULL || route->is_public)
+    return EEL_OK;
+  g_message ("event=not_served request=%s error=%s status=%u reason=\"%s\" "
+             "host=%.64s prefix=%.64s version=%" G_GUINT64_FORMAT,
+             id != NULL ? id : "-",
+             eel_error_info (EEL_ERROR_TEAM_UNKNOWN)->name,
+             eel_error_info (EEL_ERROR_TEAM_UNKNOWN)->http_status, reason,
+             route->host, route->prefix, relay->teams->version);
+  return EEL_ERROR_TEAM_UNKNOWN;
+}
+
+void
+eel_entry_set_team (struct eel_entry *entry, const struct eel_team *team)
+{
+  entry->call.has_teams = entry->relay->teams != NULL;
+  if (team == NULL)
+    return;
+  g_strlcpy (entry->team, team->name, sizeof entry->team);
+  entry->call.team = entry->team;
+  entry->call.team_id = team->id;
+  if (team->has_rank)
+    entry->call.rank = team->rank;
+}
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -238,6 +238,7 @@
   call->idempotent = (uint8_t)(idempotent != 0);
   eel_crash_read (relay, request);
   eel_self_report_read_hint (relay, call->instance_id, request);
+  eel_relay_read_team (request, call);
   call->target_us = now_us + target_ms * EEL_US_PER_MS;
   call->deadline_us = now_us + strtoll (remaining, NULL, 10) * EEL_US_PER_MS;
   return call->caller_service != NULL;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -230,7 +230,9 @@
     {
       eel_route_table_finish (relay->routes);
       free (relay->routes);
+      relay->routes = NULL;
     }
+  eel_relay_set_teams (relay, NULL);
   free (relay->directory.instances);
   eel_service_retries_finish (&relay->retries);
   eel_service_names_finish (&relay->names);
@@ -249,11 +251,7 @@
       free (relay->routes);
     }
   relay->routes = routes;
-  relay->entry_gate.last_rank = 0;
-  for (uint32_t i = 0; i < routes->count; i++)
-    if (routes->routes[i].rank > relay->entry_gate.last_rank)
-      relay->entry_gate.last_rank = routes->routes[i].rank;
-  relay->gate.last_rank = relay->entry_gate.last_rank;
+  eel_relay_update_last_rank (relay);
   relay->callers.limits = *limits;
   relay->peers.limits = *limits;
   relay->peers.limits.max_head_bytes += PEER_HEAD_EXTRA_BYTES;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "eelgrasslatch/gate.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
+#include "eelgrasslatch/team_table.h"
 #include "internal/metrics.h"
 #include "relay/pool.h"
 #include "relay/reach.h"
@@ -39,6 +40,10 @@
   const char *rate_limit;
   /* "1" in the answers of an endpoint that leaves. */
   const char *leaving;
+  /* Carries the key of a caller's team; ends at the entry node. */
+  const char *authorization;
+  /* Names the team towards the endpoint. */
+  const char *team;
 };
 
 /* Header fields between nodes. */
@@ -58,6 +63,8 @@
 #define EEL_RELAY_LIMIT "Eel-Limit"
 /* Id of the endpoint that said in this answer that it leaves. */
 #define EEL_RELAY_LEAVING "Eel-Leaving"
+/* The request's team, where teams are in force; empty: none. */
+#define EEL_RELAY_TEAM "Eel-Team"
 
 #define EEL_RELAY_QUARANTINE_MAX 1024
 #define EEL_RELAY_CLEARED_MAX 64
@@ -118,6 +125,8 @@
   struct eel_service_names names;
   /* NULL until a configuration is known. */
   struct eel_route_table *routes;
+  /* NULL: the configuration has none. */
+  struct eel_team_table *teams;
   struct eel_directory directory;
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
@@ -183,6 +192,12 @@
 void eel_relay_set_routes (struct eel_relay *relay,
                            struct eel_route_table *routes,
                            const struct eel_server_limits *limits);
+/* Takes ownership of a sealed table, or of none when teams is NULL; the
+   previous one is finished and freed. */
+void eel_relay_set_teams (struct eel_relay *relay,
+                          struct eel_team_table *teams);
+/* Call it after a change of routes or teams. */
+void eel_relay_update_last_rank (struct eel_relay *relay);
 /* Call it after a change of the directory: updates the slots of this node's
    endpoint. */
 void eel_relay_endpoints_changed (struct eel_relay *relay);
--- /dev/null
+++ b/src/relay/teams.c
@@ -0,0 +1,45 @@
+#include <stdlib.h>
+
+#include "relay/attempt.h"
+#include "relay/relay.h"
+
+/* A team's rank goes before that of a route, so either may be the last. */
+void
+eel_relay_update_last_rank (struct eel_relay *relay)
+{
+  uint8_t last = 0;
+
+  for (uint32_t i = 0; relay->routes != NULL && i < relay->routes->count; i++)
+    if (relay->routes->routes[i].rank > last)
+      last = relay->routes->routes[i].rank;
+  for (uint32_t i = 0; relay->teams != NULL && i < relay->teams->count; i++)
+    if (relay->teams->teams[i].has_rank && relay->teams->teams[i].rank > last)
+      last = relay->teams->teams[i].rank;
+  relay->entry_gate.last_rank = last;
+  relay->gate.last_rank = last;
+}
+
+/* Requests in flight hold copies of what they need. */
+void
+eel_relay_set_teams (struct eel_relay *relay, struct eel_team_table *teams)
+{
+  if (relay->teams != NULL)
+    {
+      eel_team_table_finish (relay->teams);
+      free (relay->teams);
+    }
+  relay->teams = teams;
+  eel_relay_update_last_rank (relay);
+}
+
+/* Without the field the entry node knows of no teams. */
+void
+eel_relay_read_team (const struct eel_head *request,
+                     struct eel_relay_call *call)
+{
+  const char *team = eel_head_get (request, EEL_RELAY_TEAM);
+
+  call->has_teams = (uint8_t)(team != NULL);
+  call->team = team != NULL && team[0] != 0 ? team : NULL;
+  call->team_id = call->team == NULL ? EEL_NO_TEAM : eel_team_id (call->team);
+}
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -12,6 +12,8 @@
   .actual_instance = "Actual",
   .rate_limit = "Limit",
   .leaving = "Leaving",
+  .authorization = "Authorization",
+  .team = "Team",
 };
 
 static void
