--- a/tests/unit/adapter_fixture.h
+++ b/tests/unit/adapter_fixture.h
@@ -33,7 +33,7 @@
   {
     struct eel_server_limits limits;
     struct eel_route_table *table = platform_config_decode (
-        &platform, text.data (), text.size (), &limits);
+        &platform, text.data (), text.size (), &limits, nullptr);
     int count = table == nullptr ? -1 : (int)table->count;
 
     if (table != nullptr)
--- a/tests/unit/test_parser_fuzz.cc
+++ b/tests/unit/test_parser_fuzz.cc
@@ -189,7 +189,7 @@
       std::string entry = mutate (entry_text);
       struct eel_server_limits limits;
       struct eel_route_table *table = platform_config_decode (
-          &fixture.platform, config.data (), config.size (), &limits);
+          &fixture.platform, config.data (), config.size (), &limits, nullptr);
 
       if (table != nullptr)
         eel_route_table_finish (table);
--- a/tests/unit/test_platform_adapter.cc
+++ b/tests/unit/test_platform_adapter.cc
@@ -38,7 +38,7 @@
             + R"("timeoutMs":9,"service":"s","kind":")" + kind + "\"}]}";
       struct eel_server_limits limits;
       struct eel_route_table *table = platform_config_decode (
-          &platform, text.data (), text.size (), &limits);
+          &platform, text.data (), text.size (), &limits, nullptr);
 
       ASSERT_NE (table, nullptr);
       EXPECT_EQ (table->routes[0].idempotent, strcmp (kind, "safe") == 0);
--- a/tests/unit/test_platform_config.cc
+++ b/tests/unit/test_platform_config.cc
@@ -26,8 +26,8 @@
 {
   std::string text = config (route);
   struct eel_server_limits limits;
-  struct eel_route_table *table
-      = platform_config_decode (platform, text.data (), text.size (), &limits);
+  struct eel_route_table *table = platform_config_decode (
+      platform, text.data (), text.size (), &limits, nullptr);
   std::map<std::string, int> counts;
   struct eel_route *found;
 
@@ -139,7 +139,7 @@
       const std::string text = config (each.route);
       struct eel_server_limits limits;
       struct eel_route_table *table = platform_config_decode (
-          &platform, text.data (), text.size (), &limits);
+          &platform, text.data (), text.size (), &limits, nullptr);
       const struct eel_route *good;
       const struct eel_route *matched;
 
--- a/tests/unit/test_platform_worlds.cc
+++ b/tests/unit/test_platform_worlds.cc
@@ -158,8 +158,9 @@
       world each (seed);
       std::string configuration = each.configuration (seed);
       struct eel_server_limits limits;
-      struct eel_route_table *table = platform_config_decode (
-          &platform, configuration.data (), configuration.size (), &limits);
+      struct eel_route_table *table
+          = platform_config_decode (&platform, configuration.data (),
+                                    configuration.size (), &limits, nullptr);
 
       SCOPED_TRACE (seed);
       ASSERT_NE (table, nullptr);
