Tell as of when a node provably knows the registry

as_of_us is when an answer came, which says nothing of a change that was made while the answer was on its way, or before a stale read. known_us starts when a read was sent, plus the time for which the registry had nothing new to tell, and goes with the news from node to node.

--- a/include/eelgrasslatch/registry_view.h
+++ b/include/eelgrasslatch/registry_view.h
@@ -36,6 +36,10 @@
   /* All changes up to this time are known: when the registry last answered this
      node, or the node that told it; 0: there was no news yet. */
   int64_t as_of_us;
+  /* The same, proven: no later than when a read was sent whose answer left
+     nothing out, plus the time for which the registry had nothing new to tell;
+     0: none was. */
+  int64_t known_us;
   /* First failed read of the registry in a row; 0: the last one succeeded. */
   int64_t failing_since_us;
   /* When the registry was last known not to be reached; 0: never. */
@@ -66,6 +70,25 @@
                                   int64_t stable_us,
                                   int64_t age_us,
                                   int64_t now_us);
+/*
+ * The items include all changes up to when a read was sent to the registry, and
+ * those of held_us after that.  Call it when they are applied, and never for a
+ * read that may be stale.
+ */
+void eel_registry_view_known (struct eel_registry_view *view,
+                              int64_t sent_us,
+                              int64_t held_us,
+                              int64_t now_us);
+/* The same for a peer's answer, which told that its items were known age_us
+   before, after it had held the read for held_us. */
+void eel_registry_view_known_by_peer (struct eel_registry_view *view,
+                                      int64_t sent_us,
+                                      int64_t held_us,
+                                      int64_t age_us,
+                                      int64_t now_us);
+/* Time since all changes were provably known; INT64_MAX: they never were. */
+int64_t eel_registry_view_known_age_us (const struct eel_registry_view *view,
+                                        int64_t now_us);
 /* Time until the news are so old that they have to come from the registry
    itself; 0 or less: they are. */
 int64_t eel_registry_view_fresh_for_us (const struct eel_registry_view *view,
--- a/src/membership/registry_view.c
+++ b/src/membership/registry_view.c
@@ -120,6 +120,45 @@
   record_news (view, now_us - age_us);
 }
 
+/* The read can't have been held for longer than the answer took. */
+void
+eel_registry_view_known (struct eel_registry_view *view,
+                         int64_t sent_us,
+                         int64_t held_us,
+                         int64_t now_us)
+{
+  int64_t known_us = sent_us;
+
+  if (held_us > 0)
+    known_us += held_us < now_us - sent_us ? held_us : now_us - sent_us;
+  if (known_us > view->known_us)
+    view->known_us = known_us;
+}
+
+void
+eel_registry_view_known_by_peer (struct eel_registry_view *view,
+                                 int64_t sent_us,
+                                 int64_t held_us,
+                                 int64_t age_us,
+                                 int64_t now_us)
+{
+  int64_t took_us = now_us - sent_us;
+
+  if (held_us < 0)
+    held_us = 0;
+  if (age_us >= 0)
+    eel_registry_view_known (
+        view, sent_us + (held_us < took_us ? held_us : took_us) - age_us, 0,
+        now_us);
+}
+
+int64_t
+eel_registry_view_known_age_us (const struct eel_registry_view *view,
+                                int64_t now_us)
+{
+  return view->known_us == 0 ? INT64_MAX : now_us - view->known_us;
+}
+
 int64_t
 eel_registry_view_fresh_for_us (const struct eel_registry_view *view,
                                 int64_t now_us)
