Serve no key on knowledge older than the bound on revocation

With strictRevocation a request that needs a key is refused with 503 once the configuration was provably known longer ago than nine tenths of revocationMs, and never called unknown; routes that need none go on. The age starts at the store's answer: a serializable read and an answer that left changes out don't count, and a peer tells its own age and for how long it held the read.

--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -180,9 +180,10 @@
     error = EEL_ERROR_NO_ENDPOINT;
   if (error != EEL_OK)
     eel_entry_refuse (exchange, error,
-                      eel_error_info (error)->http_status == 503
+                      error == EEL_ERROR_NO_ENDPOINT
                           ? DEFAULT_RETRY_AFTER_US
-                          : 0);
+                          : eel_error_info (error)->retry_after_ms
+                                * EEL_US_PER_MS);
   return error == EEL_OK ? route : NULL;
 }
 
--- a/src/relay/entry_team.c
+++ b/src/relay/entry_team.c
@@ -1,7 +1,9 @@
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 #include <strings.h>
 
+#include "internal/task.h"
 #include "relay/entry.h"
 
 /* The scheme of RFC 6750. */
@@ -38,33 +40,69 @@
   return value;
 }
 
+static void
+log_refusal (const struct eel_relay *relay,
+             const struct eel_exchange *exchange,
+             const struct eel_route *route,
+             enum eel_error error,
+             const char *reason,
+             int64_t now_us)
+{
+  const struct eel_error_info *info = eel_error_info (error);
+  const char *id = eel_head_get (&exchange->request,
+                                 relay->config.header_names->request_id);
+
+  g_message ("event=not_served request=%s error=%s status=%u reason=\"%s\" "
+             "host=%.64s prefix=%.64s version=%" PRIu64 " age_ms=%" PRId64,
+             id != NULL ? id : "-", info->name, info->http_status, reason,
+             route->host, route->prefix, relay->teams->version,
+             relay->known_us == 0 ? -1
+                                  : (now_us - relay->known_us) / EEL_US_PER_MS);
+}
+
+/* Requests are refused from the first one that meets outdated knowledge. */
+static void
+count_outdated (struct eel_relay *relay, int64_t now_us)
+{
+  relay->outdated_refused++;
+  if (relay->outdated_since_us != 0)
+    return;
+  relay->outdated_since_us = now_us;
+  g_message ("event=teams_outdated version=%" PRIu64 " age_ms=%" PRId64
+             " limit_ms=%" PRId64,
+             relay->teams->version,
+             relay->known_us == 0 ? -1
+                                  : (now_us - relay->known_us) / EEL_US_PER_MS,
+             relay->config.teams_max_age_us / EEL_US_PER_MS);
+}
+
 enum eel_error
 eel_entry_find_team (struct eel_relay *relay,
                      const struct eel_exchange *exchange,
                      const struct eel_route *route,
                      const struct eel_team **team)
 {
-  const char *id = eel_head_get (&exchange->request,
-                                 relay->config.header_names->request_id);
-  const char *reason;
-  const char *key;
+  int64_t now_us = eel_clock_us ();
+  int outdated = eel_relay_teams_outdated (relay, now_us);
+  const char *reason = "outdated";
+  const char *key = NULL;
   size_t bytes = 0;
+  enum eel_error error;
 
   *team = NULL;
   if (relay->teams == NULL)
     return EEL_OK;
-  key = request_key (relay, &exchange->request, &bytes, &reason);
+  if (!outdated)
+    key = request_key (relay, &exchange->request, &bytes, &reason);
   if (key != NULL)
     *team = eel_team_table_find_key (relay->teams, key, bytes);
   if (*team != NULL || route->is_public)
     return EEL_OK;
-  g_message ("event=not_served request=%s error=%s status=%u reason=\"%s\" "
-             "host=%.64s prefix=%.64s version=%" G_GUINT64_FORMAT,
-             id != NULL ? id : "-",
-             eel_error_info (EEL_ERROR_TEAM_UNKNOWN)->name,
-             eel_error_info (EEL_ERROR_TEAM_UNKNOWN)->http_status, reason,
-             route->host, route->prefix, relay->teams->version);
-  return EEL_ERROR_TEAM_UNKNOWN;
+  if (outdated)
+    count_outdated (relay, now_us);
+  error = outdated ? EEL_ERROR_TEAMS_OUTDATED : EEL_ERROR_TEAM_UNKNOWN;
+  log_refusal (relay, exchange, route, error, reason, now_us);
+  return error;
 }
 
 void
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -84,6 +84,9 @@
   double retry_ratio;
   double retry_extra;
   int64_t retry_window_us;
+  /* Age of the knowledge of teams beyond which no key is served; 0: any age
+     will do. */
+  int64_t teams_max_age_us;
 };
 
 struct eel_relay_counters
@@ -127,6 +130,12 @@
   struct eel_route_table *routes;
   /* NULL: the configuration has none. */
   struct eel_team_table *teams;
+  /* All changes up to this time are provably known; 0: none. */
+  int64_t known_us;
+  /* Since when requests are refused because that is too long ago, and how many
+     were; 0: they are not. */
+  int64_t outdated_since_us;
+  uint64_t outdated_refused;
   struct eel_directory directory;
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
@@ -196,6 +205,10 @@
    previous one is finished and freed. */
 void eel_relay_set_teams (struct eel_relay *relay,
                           struct eel_team_table *teams);
+/* All changes up to this time are provably known. */
+void eel_relay_set_known (struct eel_relay *relay, int64_t known_us);
+/* True when keys may have been withdrawn for longer than is allowed. */
+int eel_relay_teams_outdated (const struct eel_relay *relay, int64_t now_us);
 /* Call it after a change of routes or teams. */
 void eel_relay_update_last_rank (struct eel_relay *relay);
 /* Call it after a change of the directory: updates the slots of this node's
--- a/src/relay/teams.c
+++ b/src/relay/teams.c
@@ -1,5 +1,7 @@
+#include <inttypes.h>
 #include <stdlib.h>
 
+#include "internal/task.h"
 #include "relay/attempt.h"
 #include "relay/relay.h"
 
@@ -32,6 +34,31 @@
   eel_relay_update_last_rank (relay);
 }
 
+int
+eel_relay_teams_outdated (const struct eel_relay *relay, int64_t now_us)
+{
+  return relay->config.teams_max_age_us > 0
+         && (relay->known_us == 0
+             || now_us - relay->known_us > relay->config.teams_max_age_us);
+}
+
+void
+eel_relay_set_known (struct eel_relay *relay, int64_t known_us)
+{
+  int64_t now_us = eel_clock_us ();
+
+  relay->known_us = known_us;
+  if (relay->outdated_since_us == 0 || eel_relay_teams_outdated (relay, now_us))
+    return;
+  g_message ("event=teams_current refused=%" PRIu64 " for_ms=%" PRId64
+             " age_ms=%" PRId64,
+             relay->outdated_refused,
+             (now_us - relay->outdated_since_us) / EEL_US_PER_MS,
+             (now_us - known_us) / EEL_US_PER_MS);
+  relay->outdated_since_us = 0;
+  relay->outdated_refused = 0;
+}
+
 /* Without the field the entry node knows of no teams. */
 void
 eel_relay_read_team (const struct eel_head *request,
--- /dev/null
+++ b/tests/unit/test_items_known.cc
@@ -0,0 +1,95 @@
+#include "adapter_fixture.h"
+
+// As of when a reader knows its items, by the answer to one call.
+struct items_known : public adapter_test
+{
+  struct platform_feed feed = {};
+  struct item_reader &reader = feed.reader;
+  int64_t sent_us = eel_clock_us () - 900 * EEL_US_PER_MS;
+
+  items_known ()
+  {
+    platform.feed = &feed;
+    feed.platform = &platform;
+    reader.platform = &platform;
+    eel_registry_view_init (&feed.view, &platform.relay.directory);
+    reader.sent_us = sent_us;
+    reader.hold_ms = 700;
+  }
+
+  // Returns how long after the call was sent all is known, in ms; -1: nothing
+  // is proven.
+  int64_t
+  known_ms (const char *answer, bool was_listing)
+  {
+    JsonParser *parser = json_parser_new ();
+    JsonObject *root = platform_json_parse (parser, answer, strlen (answer));
+
+    feed.view.known_us = 0;
+    platform.relay.known_us = 0;
+    items_known_record (&reader, root, was_listing);
+    g_object_unref (parser);
+    EXPECT_EQ (platform.relay.known_us, feed.view.known_us);
+    return feed.view.known_us == 0
+               ? -1
+               : (feed.view.known_us - sent_us) / EEL_US_PER_MS;
+  }
+};
+
+TEST_F (items_known, WatchOfTheStore)
+{
+  const struct
+  {
+    const char *name;
+    const char *answer;
+    int64_t known_ms;
+  } cases[] = {
+    { "nothing new", R"({"events":[],"currentRev":9})", 700 },
+    { "events", R"({"events":[{"revision":9}],"currentRev":9})", 0 },
+    // The store has lost the changes between.
+    { "left out", R"({"events":[{"revision":9}],"currentRev":10})", -1 },
+    { "nothing, but a later revision", R"({"events":[],"currentRev":10})", -1 },
+  };
+
+  reader.after_revision = 9;
+  for (const auto &each : cases)
+    EXPECT_EQ (known_ms (each.answer, false), each.known_ms) << each.name;
+}
+
+// Guards against a listing that may be stale and makes knowledge look new.
+TEST_F (items_known, ListingOfTheStore)
+{
+  reader.after_revision = 9;
+  EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -1);
+  reader.listing_sent_us = sent_us - 500 * EEL_US_PER_MS;
+  EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -500);
+  // More pages follow.
+  reader.after_revision = 0;
+  EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -1);
+}
+
+TEST_F (items_known, AnswerOfAPeer)
+{
+  const struct
+  {
+    const char *name;
+    const char *answer;
+    int64_t known_ms;
+  } cases[] = {
+    { "at once", R"({"events":[],"currentRev":9,"knownMs":200,"heldMs":0})",
+      -200 },
+    { "held", R"({"events":[],"currentRev":9,"knownMs":200,"heldMs":600})",
+      400 },
+    { "no word", R"({"events":[],"currentRev":9})", -1 },
+    { "knows nothing", R"({"items":[],"currentRev":9,"knownMs":-1,"heldMs":5})",
+      -1 },
+    { "no number", R"({"events":[],"currentRev":9,"knownMs":"0"})", -1 },
+    { "not proven, however new", R"({"events":[],"currentRev":9,"ageMs":0})",
+      -1 },
+  };
+
+  reader.ip = 1;
+  reader.after_revision = 9;
+  for (const auto &each : cases)
+    EXPECT_EQ (known_ms (each.answer, false), each.known_ms) << each.name;
+}
--- a/tests/unit/test_platform_adapter.cc
+++ b/tests/unit/test_platform_adapter.cc
@@ -269,3 +269,46 @@
     }
   unlink (file);
 }
+
+// Guards against a bound on withdrawn keys that is not kept, or kept where none
+// is asked for.
+TEST (PlatformSettings, BoundOnWithdrawnKeys)
+{
+  const std::string good
+      = R"({"nodeName":"n","service":"s","zone":"z","ip":"1.2.3.4",)"
+        R"("appAddress":"1.2.3.4:5",)"
+        R"("listenAddresses":{"outbound":"1.2.3.4:6","inbound":"1.2.3.4:7",)"
+        R"("ready":"1.2.3.4:8"},"platform":{"address":"1.2.3.4:9"})";
+  const struct
+  {
+    const char *bounds;
+    int64_t max_age_ms;
+  } cases[] = {
+    { "", 0 },
+    { R"(,"bounds":{})", 0 },
+    { R"(,"bounds":{"revocationMs":5000})", 0 },
+    { R"(,"bounds":{"strictRevocation":false,"revocationMs":5000})", 0 },
+    { R"(,"bounds":{"strictRevocation":true,"revocationMs":5000})", 4500 },
+    { R"(,"bounds":{"strictRevocation":true,"revocationMs":2000})", 1800 },
+    { R"(,"bounds":{"strictRevocation":true})", 4500 },
+    { R"(,"bounds":{"strictRevocation":true,"revocationMs":-7})", 0 },
+  };
+  char file[] = "/tmp/eel-settings-XXXXXX";
+  struct platform_settings settings;
+  int fd = mkstemp (file);
+
+  close (fd);
+  for (const auto &each : cases)
+    {
+      std::ofstream (file) << good << each.bounds << "}";
+      EXPECT_TRUE (platform_settings_read (&settings, file)) << each.bounds;
+      EXPECT_EQ (settings.teams_max_age_us / EEL_US_PER_MS, each.max_age_ms)
+          << each.bounds;
+      // A bound of next to nothing is one all the same.
+      EXPECT_EQ (settings.teams_max_age_us > 0,
+                 strstr (each.bounds, "true") != nullptr)
+          << each.bounds;
+      platform_settings_finish (&settings);
+    }
+  unlink (file);
+}
