Count requests by team and tell which keys came into force

A team's requests are counted by name for those with the largest use, in 64 rows however many teams there are, and together for the others; requests without a known key, and those refused because the knowledge was too old, have a counter each.

--- a/include/eelgrasslatch/team_table.h
+++ b/include/eelgrasslatch/team_table.h
@@ -87,9 +87,33 @@
 /* Returns the team that alone holds the key, or NULL. */
 const struct eel_team *eel_team_table_find_key (
     const struct eel_team_table *table, const char *key, size_t bytes);
+/* Returns the key with that hash, or NULL. */
+const struct eel_team_key *
+eel_team_table_find_hash (const struct eel_team_table *table,
+                          const uint8_t hash[EEL_TEAM_KEY_HASH_BYTES]);
 /* Returns the team with that id, or NULL. */
 const struct eel_team *eel_team_table_find (const struct eel_team_table *table,
                                             uint64_t id);
+/* How the keys in force of one team differ between two versions. */
+struct eel_team_change
+{
+  const char *name;
+  /* In the later version. */
+  uint32_t keys;
+  uint32_t added;
+  uint32_t removed;
+};
+
+/*
+ * Passes each team whose keys in force differ to a function; either table may
+ * be NULL, for one without teams.  The tables have the same secret.  Returns
+ * the number of teams, or -1 when out of memory.
+ */
+int64_t eel_team_table_compare (
+    const struct eel_team_table *before,
+    const struct eel_team_table *after,
+    void (*each) (void *data, const struct eel_team_change *change),
+    void *data);
 /* Returns the id of a team's name. */
 uint64_t eel_team_id (const char *name);
 
--- a/src/admission/team_table.c
+++ b/src/admission/team_table.c
@@ -226,24 +226,34 @@
     }
 }
 
+const struct eel_team_key *
+eel_team_table_find_hash (const struct eel_team_table *table,
+                          const uint8_t hash[EEL_TEAM_KEY_HASH_BYTES])
+{
+  uint32_t found;
+
+  if (table->key_slot_count == 0)
+    return NULL;
+  found = table->key_slots[find_key_slot (table, hash)];
+  return found == 0 ? NULL : &table->keys[found - 1];
+}
+
 const struct eel_team *
 eel_team_table_find_key (const struct eel_team_table *table,
                          const char *key,
                          size_t bytes)
 {
   uint8_t hash[EEL_TEAM_KEY_HASH_BYTES];
-  uint32_t found;
-  uint32_t team;
+  const struct eel_team_key *found;
 
-  if (table->key_slot_count == 0 || bytes == 0 || bytes > EEL_TEAM_KEY_MAX)
+  if (bytes == 0 || bytes > EEL_TEAM_KEY_MAX)
     return NULL;
   crypto_shorthash_siphashx24 (hash, (const unsigned char *)key, bytes,
                                table->secret);
-  found = table->key_slots[find_key_slot (table, hash)];
-  if (found == 0)
-    return NULL;
-  team = table->keys[found - 1].team;
-  return team == EEL_TEAM_LEFT_OUT ? NULL : &table->teams[team];
+  found = eel_team_table_find_hash (table, hash);
+  return found == NULL || found->team == EEL_TEAM_LEFT_OUT
+             ? NULL
+             : &table->teams[found->team];
 }
 
 const struct eel_team *
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -239,6 +239,8 @@
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
       return;
     }
+  eel_team_use_count (&relay->team_use, entry->call.team_id, entry->team,
+                      EEL_TEAM_USE_ADMITTED);
   entry->held_back
       = has_body (&exchange->request) && eel_crash_suspects_bodies (relay);
   if (!has_body (&exchange->request))
--- a/src/relay/entry_team.c
+++ b/src/relay/entry_team.c
@@ -100,6 +100,9 @@
     return EEL_OK;
   if (outdated)
     count_outdated (relay, now_us);
+  eel_metric_add (outdated ? relay->counters.teams_outdated
+                           : relay->counters.team_unknown,
+                  1);
   error = outdated ? EEL_ERROR_TEAMS_OUTDATED : EEL_ERROR_TEAM_UNKNOWN;
   log_refusal (relay, exchange, route, error, reason, now_us);
   return error;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -135,6 +135,10 @@
   COUNTER (failed, "eel_relay_failed_total", "Requests that failed.");
   COUNTER (retries, "eel_relay_retries_total", "Further arrivals.");
   COUNTER (disconnected, "eel_relay_gone_total", "Requests whose caller left.");
+  COUNTER (team_unknown, "eel_relay_team_unknown_total",
+           "Requests without a key in force that needed one.");
+  COUNTER (teams_outdated, "eel_relay_teams_outdated_total",
+           "Requests refused because the keys in force were not known.");
   COUNTER (runs, "eel_relay_runs_total", "Requests sent to the endpoint.");
   COUNTER (cut_callers, "eel_relay_cut_callers_total",
            "Callers' connections that ended with an answer unsent.");
@@ -184,6 +188,7 @@
   eel_service_names_init (&relay->names);
   relay->service = eel_service_names_intern (&relay->names, config->service);
   eel_gate_init (&relay->gate, INITIAL_SLOTS);
+  eel_team_use_init (&relay->team_use);
   eel_entry_gate_init (&relay->entry_gate);
   eel_call_costs_init (&relay->call_costs);
   eel_fault_rate_init (&relay->fault_rate);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,6 +13,7 @@
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
 #include "eelgrasslatch/team_table.h"
+#include "eelgrasslatch/team_use.h"
 #include "internal/metrics.h"
 #include "relay/pool.h"
 #include "relay/reach.h"
@@ -97,6 +98,8 @@
   struct eel_metric *failed;
   struct eel_metric *retries;
   struct eel_metric *disconnected;
+  struct eel_metric *team_unknown;
+  struct eel_metric *teams_outdated;
   struct eel_metric *runs;
   /* Connections that ended with a part of an answer unsent. */
   struct eel_metric *cut_callers;
@@ -136,6 +139,7 @@
      were; 0: they are not. */
   int64_t outdated_since_us;
   uint64_t outdated_refused;
+  struct eel_team_use team_use;
   struct eel_directory directory;
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
--- a/tests/unit/test_team_table.cc
+++ b/tests/unit/test_team_table.cc
@@ -1,9 +1,13 @@
+#include <cstring>
 #include <gtest/gtest.h>
 #include <string>
+#include <utility>
+#include <vector>
 
 extern "C"
 {
-#include "eelgrasslatch/team_table.h"
+#include "eelgrasslatch/rng.h"
+#include "eelgrasslatch/team_use.h"
 }
 
 struct team_table : public ::testing::Test
@@ -176,3 +180,91 @@
                table.key_count * sizeof *table.keys);
   EXPECT_EQ (held.find ("secret"), std::string::npos);
 }
+
+// How the keys of teams change from one version to the next.
+TEST_F (team_table, ChangesOfKeysByTeam)
+{
+  struct eel_team_table after;
+  std::vector<std::string> changes;
+  auto each = [] (void *data, const struct eel_team_change *change) {
+    static_cast<std::vector<std::string> *> (data)->push_back (
+        std::string (change->name) + " " + std::to_string (change->keys) + " +"
+        + std::to_string (change->added) + " -"
+        + std::to_string (change->removed));
+  };
+
+  for (const char *name : { "same", "moves", "gone", "loses", "twins" })
+    {
+      uint32_t index = (uint32_t)add (name);
+
+      add_key (index, std::string (name) + "1");
+      add_key (index, std::string (name) + "2");
+    }
+  eel_team_table_seal (&table);
+  std::swap (table, after);
+  eel_team_table_init (&table, 8, secret);
+  for (const char *name : { "twins", "new", "loses", "same" })
+    add (name);
+  // A key that two teams hold is in force for none.
+  add_key (0, "twins1");
+  add_key (0, "twins2");
+  add_key (1, "twins2");
+  add_key (1, "moves1");
+  add_key (1, "new1");
+  add_key (2, "loses2");
+  add_key (3, "same2");
+  add_key (3, "same1");
+  std::swap (table, after);
+  EXPECT_EQ (eel_team_table_compare (&table, &after, each, &changes), 5);
+  EXPECT_EQ (changes, (std::vector<std::string>{
+                          "twins 1 +0 -1", "new 2 +2 -0", "loses 1 +0 -1",
+                          "moves 0 +0 -2", "gone 0 +0 -2" }));
+  changes.clear ();
+  EXPECT_EQ (eel_team_table_compare (&table, &table, each, &changes), 0);
+  EXPECT_EQ (eel_team_table_compare (nullptr, &after, each, &changes), 4);
+  EXPECT_EQ (eel_team_table_compare (&after, nullptr, each, &changes), 4);
+  EXPECT_EQ (eel_team_table_compare (nullptr, nullptr, each, &changes), 0);
+  eel_team_table_finish (&after);
+}
+
+// Guards against a counter for each of any number of teams, and against a large
+// team among the others.
+TEST (team_use, LargestTeamsAreCountedByName)
+{
+  struct eel_team_use use;
+  struct eel_rng rng;
+  uint64_t total = 0;
+  uint64_t counted = 0;
+  uint64_t large = 0;
+
+  eel_rng_init (&rng, 1);
+  eel_team_use_init (&use);
+  for (int i = 0; i < 200000; i++)
+    {
+      // One request in five is of four large teams, the others are of 5,000.
+      std::string name
+          = "t"
+            + std::to_string (i % 5 == 0 ? i / 5 % 4
+                                         : 100 + eel_rng_below (&rng, 5000));
+
+      total++;
+      eel_team_use_count (&use, eel_team_id (name.c_str ()), name.c_str (),
+                          i % 3 == 0 ? EEL_TEAM_USE_OVER_CAP
+                                     : EEL_TEAM_USE_ADMITTED);
+    }
+  eel_team_use_count (&use, EEL_NO_TEAM, "", EEL_TEAM_USE_ADMITTED);
+  for (const auto &row : use.rows)
+    {
+      for (uint64_t count : row.counts)
+        counted += count;
+      if (strlen (row.name) == 2)
+        {
+          large++;
+          EXPECT_GT (row.counts[EEL_TEAM_USE_ADMITTED], 6000u);
+        }
+    }
+  EXPECT_EQ (large, 4u);
+  for (uint64_t count : use.others)
+    counted += count;
+  EXPECT_EQ (counted, total);
+}
