--- a/tools/platform_fleet.sh
+++ b/tools/platform_fleet.sh
@@ -7,6 +7,8 @@
 FLEET_PORT=$("$BUILD/standin_endpoint")
 # Failure domain of all VMs; empty: each VM has its own.
 FLEET_ZONE=""
+# More fields of the settings' bounds.
+FLEET_BOUNDS=""
 # Network prefix at which other nodes reach a VM: its own or that of proxies.
 FLEET_NET=127.0.0
 
@@ -102,7 +104,7 @@
 "listenAddresses":{"outbound":"$ip:$((FLEET_PORT + 2))","inbound":"$ip:$((FLEET_PORT + 3))",
 "ready":"$ip:$((FLEET_PORT + 4))","control":"$ip:$((FLEET_PORT + 5))"},
 "seedNodes":["$FLEET_NET.3:$((FLEET_PORT + 5))","$FLEET_NET.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
-"bounds":{"gracePeriodS":6,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":48},
+"bounds":{"gracePeriodS":6,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":48${FLEET_BOUNDS:+,$FLEET_BOUNDS}},
 "platform":{"address":"${FLEET_STORE:-127.0.0.1}:$STORE"}}
 END
 }
