Test a withdrawn key on a request that is sent again, and stale listings

Two mutants survived the tests: a request that points into the table of teams, and a stale listing that counts as proof. When a call is sent is a function of its own now, and the request in flight is sent again after its table is gone.

--- a/tests/unit/test_items_known.cc
+++ b/tests/unit/test_items_known.cc
@@ -59,10 +59,28 @@
 // Guards against a listing that may be stale and makes knowledge look new.
 TEST_F (items_known, ListingOfTheStore)
 {
+  GString *target = g_string_new (nullptr);
+
+  // The first listing asks for a stale read.
+  item_call_target (&reader, target);
+  EXPECT_NE (strstr (target->str, "serializable=1"), nullptr);
+  item_call_begin (&reader, sent_us);
   reader.after_revision = 9;
   EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -1);
-  reader.listing_sent_us = sent_us - 500 * EEL_US_PER_MS;
+  // After the loss of the store's history the listing is current; it is as old
+  // as its first page.
+  reader.after_revision = 0;
+  reader.listing_must_be_current = 1;
+  g_string_truncate (target, 0);
+  item_call_target (&reader, target);
+  EXPECT_EQ (strstr (target->str, "serializable"), nullptr);
+  item_call_begin (&reader, sent_us - 500 * EEL_US_PER_MS);
+  g_strlcpy (reader.page_after_key, "k", sizeof reader.page_after_key);
+  item_call_begin (&reader, sent_us);
+  reader.page_after_key[0] = 0;
+  reader.after_revision = 9;
   EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -500);
+  g_string_free (target, TRUE);
   // More pages follow.
   reader.after_revision = 0;
   EXPECT_EQ (known_ms (R"({"items":[],"currentRev":9})", true), -1);
--- a/tests/unit/test_relay_teams.cc
+++ b/tests/unit/test_relay_teams.cc
@@ -45,6 +45,21 @@
     eel_relay_set_teams (&cluster.nodes[at]->relay, table);
   }
 
+  // Teams of other names, so that nothing of the table before is left.
+  void
+  set_other_teams (size_t at)
+  {
+    const uint8_t secret[EEL_TEAM_SECRET_BYTES] = { 9 };
+    auto *table = static_cast<struct eel_team_table *> (
+        calloc (1, sizeof (struct eel_team_table)));
+
+    eel_team_table_init (table, 2, secret);
+    for (int i = 0; i < 100; i++)
+      add (table, ("q" + std::to_string (i)).c_str (), { std::to_string (i) });
+    eel_team_table_seal (table);
+    eel_relay_set_teams (&cluster.nodes[at]->relay, table);
+  }
+
   void
   set_teams ()
   {
@@ -234,20 +249,32 @@
   EXPECT_EQ (last_request ().find ("ka"), std::string::npos);
 }
 
-// Guards against a table that is freed under a request in flight.
+// Guards against a table that is freed under a request in flight, which is sent
+// again after its key was withdrawn: it was sent before.
 TEST_F (relay_teams, RequestInFlightOutlivesItsTable)
 {
   auto conn = cluster.connect ();
+  raw_conn *held = nullptr;
+  std::string request;
 
   set_teams ();
-  raw_upstream::write (*conn, "POST /once/x HTTP/1.1\r\nHost: shop.example\r\n"
-                              "Req-Id: r1\r\nContent-Length: 4\r\n"
-                                  + key_of_a + "\r\nab");
-  cluster.run_ms (100);
-  set_teams (0, { "other" });
-  raw_upstream::write (*conn, "cd");
-  ASSERT_TRUE (cluster.run_until ([&] { return arrivals () == 1; }));
-  EXPECT_EQ (field_of (last_request (), "Team"), "a");
+  cluster.nodes[1]->upstream.answer
+      = [&] (raw_upstream &, raw_conn &at, const std::string &text) {
+          held = &at;
+          request = text;
+        };
+  raw_upstream::write (*conn, request_text ("POST", "/once/x", "r1", key_of_a));
+  ASSERT_TRUE (cluster.run_until ([&] { return held != nullptr; }));
+  set_other_teams (0);
+  cluster.list_upstream (2, 50);
+  raw_upstream::write (
+      *held,
+      answer_text (request, "", "503 Service Unavailable", "Not-Run: 1\r\n"));
+  ASSERT_TRUE (cluster.run_until ([&] { return !conn->in.empty (); }));
+  EXPECT_EQ (status_of (conn->in), "200");
+  EXPECT_EQ (arrivals (2), 1u);
+  EXPECT_EQ (field_of (last_request (2), "Team"), "a");
+  EXPECT_EQ (send (key_of_a), "401");
   bufferevent_free (conn->bev);
 }
 
