--- a/tests/unit/test_items_known.cc
+++ b/tests/unit/test_items_known.cc
@@ -111,3 +111,28 @@
   for (const auto &each : cases)
     EXPECT_EQ (known_ms (each.answer, false), each.known_ms) << each.name;
 }
+
+// Guards against a slow store whose answers are given up until no key is served
+// any more.
+TEST_F (items_known, SlowStoreIsWaitedForWhenTheProofAges)
+{
+  const int64_t ms = EEL_US_PER_MS;
+
+  reader.after_revision = 9;
+  reader.verified = 1;
+  feed.view.known_us = eel_clock_us () - 3000 * ms;
+  EXPECT_EQ (item_call_timeout_ms (&reader), 1100);
+  platform.relay.config.teams_max_age_us = 4500 * ms;
+  EXPECT_EQ (item_call_timeout_ms (&reader), 100 + 1125);
+  EXPECT_EQ (reader.hold_ms, 100);
+  feed.view.known_us = eel_clock_us () - 2000 * ms;
+  EXPECT_EQ (item_call_timeout_ms (&reader), 1100);
+  EXPECT_EQ (reader.hold_ms, 700);
+  // Nothing is proven yet.
+  feed.view.known_us = 0;
+  EXPECT_EQ (item_call_timeout_ms (&reader), 1 + 1125);
+  EXPECT_EQ (reader.hold_ms, 1);
+  // Peers are not waited for any longer.
+  reader.ip = 1;
+  EXPECT_EQ (item_call_timeout_ms (&reader), 300);
+}
