--- a/tests/unit/test_parser_fuzz.cc
+++ b/tests/unit/test_parser_fuzz.cc
@@ -207,6 +207,45 @@
     }
 }
 
+TEST (ParserFuzz, TeamsAndKeys)
+{
+  const std::string text
+      = R"({"version":3,"routes":[],"tenants":[{"name":"a","apiKeys":["k1",)"
+        R"("k2"],"priority":1,"ratePerS":7,"burst":2},{"name":"b","apiKeys":)"
+        R"(["k3","k\u0000x"]}]})";
+  mutator mutate (4);
+  platform_fixture fixture;
+  int decoded = 0;
+
+  for (int n = 0; n < STEPS; n++)
+    {
+      std::string config = mutate (text);
+      struct eel_server_limits limits;
+      struct eel_team_table *teams = nullptr;
+      struct eel_route_table *table = platform_config_decode (
+          &fixture.platform, config.data (), config.size (), &limits, &teams);
+
+      if (teams != nullptr)
+        {
+          decoded++;
+          for (uint32_t i = 0; i < teams->count; i++)
+            {
+              EXPECT_GE (teams->teams[i].rate_per_s, 0);
+              for (const char *at = teams->teams[i].name; *at != 0; at++)
+                EXPECT_GE ((unsigned char)*at, (unsigned char)' ');
+              EXPECT_EQ (eel_team_table_find (teams, teams->teams[i].id),
+                         &teams->teams[i]);
+            }
+          eel_team_table_finish (teams);
+        }
+      if (table != nullptr)
+        eel_route_table_finish (table);
+      free (teams);
+      free (table);
+    }
+  EXPECT_GT (decoded, STEPS / 20);
+}
+
 TEST (ParserFuzz, ListingsAndEvents)
 {
   mutator mutate (3);
