Measure how long runs of each route take and the endpoint's present speed

The node beside an endpoint knows one mean hold time of all routes, which tells neither a slow endpoint from one that runs longer work nor a slow moment from a slow endpoint. Per route a mean in which a run counts for at most 2.5 times the mean, and over 200 ms the speed relative to these means.

Not used yet.

--- a/include/eelgrasslatch/run_times.h
+++ b/include/eelgrasslatch/run_times.h
@@ -9,10 +9,12 @@
  * How long runs of each route take at this node's endpoint, and how fast the
  * endpoint is at present, measured by the node beside it.
  *
- * Per route: a mean of the hold time from which a long tail is kept out.  The
- * speed is the mean over recent runs of a route's usual time divided by the time
- * it took, in thousandths: 1000 is the endpoint's own usual.  Bounded: the least
- * recently used route gives way.
+ * Per route: a mean of the hold time over some seconds, in which a sample
+ * counts for at most a small multiple of the mean.  The speed compares the runs
+ * of the last moments with these means, in thousandths: 1000 is the endpoint's
+ * own usual, and the value without recent runs.  A hold time includes what the
+ * run waits for its own calls, so the times tell endpoints of one service apart
+ * only for the same route.  Bounded: the least recently used route gives way.
  */
 
 #define EEL_RUN_TIMES_ROUTES_MAX 32
@@ -29,8 +31,11 @@
 {
   struct eel_run_time routes[EEL_RUN_TIMES_ROUTES_MAX];
   uint32_t count;
-  double speed_milli;
-  int64_t speed_at_us;
+  /* Decaying sums over recent runs: the usual times of their routes, and the
+     times that they took. */
+  double usual_us;
+  double held_us;
+  int64_t sums_at_us;
 };
 
 void eel_run_times_init (struct eel_run_times *times);
@@ -39,11 +44,13 @@
                            uint64_t route,
                            int64_t held_us,
                            int64_t now_us);
+/* Mean time of a run of the route; 0: nothing is known. */
+int64_t eel_run_times_usual_us (const struct eel_run_times *times,
+                                uint64_t route);
 /* Expected time of a run that starts now; 0: nothing is known. */
 int64_t eel_run_times_expected_us (const struct eel_run_times *times,
                                    uint64_t route,
                                    int64_t now_us);
-/* Returns 1000 while nothing is known. */
 uint32_t eel_run_times_speed_milli (const struct eel_run_times *times,
                                     int64_t now_us);
 
