Compare endpoints by the expected end of the request's run, on request

Endpoints of one service differ in speed by three and are slow for moments; their use alone sends as much work to a slow one as to a fast one. With by_finish in the query, the cost of an endpoint is its use plus what a run of the route takes there beyond the fastest one, both aged with the report, and what this sender has sent since. The random spread grows with the part of the use that isn't known, so that senders with old reports split the load instead of following them. When all have queues the order is that of the use.

Existing tests: initialisers of the query and of reports have the new fields, all zero; nothing else changed.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -44,8 +44,26 @@
   /* The endpoint names a limit, in thousandths of a request a second. */
   uint8_t has_limit;
   uint64_t limit_milli;
+  /* Present speed relative to the endpoint's usual one, in thousandths; 0:
+     unknown. */
+  uint32_t speed_milli;
+  /* Usual time that a run of the route holds a slot; 0: unknown. */
+  uint64_t route;
+  int64_t run_us;
 };
 
+/* Usual time of a route at an endpoint, as its node reported it. */
+struct eel_instance_run
+{
+  uint64_t route;
+  int64_t run_us;
+  int64_t reported_us;
+};
+
+/* Routes of which times are kept; the one that was reported longest ago gives
+   way. */
+#define EEL_INSTANCE_RUNS_MAX 4
+
 struct eel_instance
 {
   char id[EEL_INSTANCE_ID_MAX];
@@ -74,6 +92,9 @@
   /* What its node reported last, and when. */
   struct eel_instance_report report;
   int64_t reported_us;
+  /* Requests that were sent there since. */
+  uint32_t sent_since_report;
+  struct eel_instance_run runs[EEL_INSTANCE_RUNS_MAX];
   /* Avoided until this time; grows with consecutive failures. */
   int64_t avoid_until_us;
   uint32_t failures;
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -17,6 +17,9 @@
  * all domains are much busier, and is tried again from time to time.  One that
  * nobody has reported on counts as used like the others, so that it gets its
  * first requests.
+ *
+ * By expected end of the run (finish.h) the order within the own domain, and
+ * that among all endpoints beyond it, is that of the expected ends.
  */
 
 /* Use of the limit, in thousandths, above which requests leave the domain. */
@@ -28,6 +31,9 @@
   /* Ids of the endpoints that this request has tried. */
   const char *const *tried;
   uint32_t tried_count;
+  /* Compare endpoints by the expected end of the run instead of their use. */
+  uint8_t by_finish;
+  uint64_t route;
 };
 
 /* Returns the endpoint to try next, or NULL when none is left. */
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -3,6 +3,7 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "eelgrasslatch/finish.h"
 #include "internal/hash.h"
 
 /* Age above which a reported use is ignored; load waves last seconds. */
@@ -46,6 +47,14 @@
 /* Cost added at a shed rate of 1: that of a use of twice the limit. */
 #define SHED_COST_MILLI 2000.0
 
+/* By expected end of the run: cost above which an endpoint of the own domain is
+ * not preferred (four times the fastest one's), what is added for those that
+ * are not, and the growth of the random spread with the use and with the part
+ * of it that is not known. */
+#define FINISH_SPILL_MILLI 3000
+#define FINISH_SPILL_COST_MILLI 50000
+#define DOUBT_FACTOR 8
+
 /* Consecutive failures from which on an endpoint gets one request at a time. */
 #define TRIAL_FAILURES_MIN 2
 
@@ -77,6 +86,9 @@
   uint32_t least_fault_milli;
   /* Lowest of the fresh reports; 0: there is none. */
   int64_t least_hold_us;
+  /* By expected end of the run. */
+  uint8_t by_finish;
+  struct eel_finish_view finish;
 };
 
 static int
@@ -98,22 +110,43 @@
     view->least_hold_us = report->hold_us;
 }
 
+static void
+view_finish (const struct eel_directory *directory,
+             const struct eel_place_query *query,
+             int64_t now_us,
+             struct service_view *view)
+{
+  view->by_finish = 1;
+  eel_finish_view_init (&view->finish, query->route, view->assumed_use_milli,
+                        now_us);
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      const struct eel_instance *instance = &directory->instances[i];
+
+      if (instance->service == query->service && eel_instance_usable (instance))
+        eel_finish_view_add (&view->finish, instance);
+    }
+}
+
 static void
 view_service (const struct eel_directory *directory,
-              uint32_t service,
+              const struct eel_place_query *query,
               int64_t now_us,
               struct service_view *view)
 {
   uint64_t use_milli = 0;
   uint32_t reports = 0;
 
+  view->by_finish = 0;
+
   view->least_fault_milli = UINT32_MAX;
   view->least_hold_us = 0;
   for (uint32_t i = 0; i < directory->count; i++)
     {
       const struct eel_instance *instance = &directory->instances[i];
 
-      if (instance->service != service || !eel_instance_usable (instance))
+      if (instance->service != query->service
+          || !eel_instance_usable (instance))
         continue;
       if (has_report (instance, USE_LIFE_US, now_us))
         {
@@ -126,6 +159,8 @@
   view->assumed_use_milli = USE_UNKNOWN_MILLI;
   if (reports > 0 && use_milli / reports < USE_UNKNOWN_MILLI)
     view->assumed_use_milli = (uint32_t)(use_milli / reports);
+  if (query->by_finish)
+    view_finish (directory, query, now_us, view);
 }
 
 /* Returns the fault rate above that of the soundest endpoint: what all share is
@@ -170,6 +205,32 @@
   return use;
 }
 
+/* Cost by expected end of the run.  The own domain's endpoints with room come
+   before all others. */
+static uint64_t
+finish_cost (const struct eel_instance *instance,
+             const struct service_view *view,
+             int64_t now_us,
+             struct eel_rng *rng)
+{
+  const struct eel_finish_view *finish = &view->finish;
+  uint64_t end_milli = eel_finish_cost_milli (finish, instance);
+  uint32_t use = eel_finish_use_milli (finish, instance);
+  uint32_t fault_milli = excess_fault (instance, view, now_us);
+  uint32_t noise
+      = NOISE_MILLI
+        + use * eel_finish_doubt_milli (finish, instance) / 1000 * DOUBT_FACTOR;
+
+  if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
+      && instance->shed_rate < SHED_RATE_SPILL
+      && fault_milli < FAULT_SPILL_MILLI && end_milli < FINISH_SPILL_MILLI)
+    return end_milli + eel_rng_below (rng, noise);
+  return FINISH_SPILL_COST_MILLI + end_milli
+         + eel_rng_below (rng, noise + use * SPREAD_FACTOR)
+         + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
+         + FAULT_COST_FACTOR * fault_milli;
+}
+
 /* Lower is better; an endpoint in backoff comes last. */
 static uint64_t
 cost (const struct eel_instance *instance,
@@ -184,6 +245,8 @@
 
   if (now_us < instance->avoid_until_us)
     return UINT64_C (1000000) + (uint64_t)(instance->avoid_until_us - now_us);
+  if (view->by_finish)
+    return finish_cost (instance, view, now_us, rng);
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
       && fault_milli < FAULT_SPILL_MILLI && !slow)
@@ -204,7 +267,7 @@
   uint64_t best_cost = UINT64_MAX;
   struct service_view view;
 
-  view_service (directory, query->service, now_us, &view);
+  view_service (directory, query, now_us, &view);
   for (uint32_t i = 0; i < directory->count; i++)
     {
       struct eel_instance *instance = &directory->instances[i];
@@ -259,6 +322,7 @@
 eel_place_sent (struct eel_instance *instance)
 {
   instance->in_flight++;
+  instance->sent_since_report++;
   instance->unaccepted++;
 }
 
@@ -278,6 +342,7 @@
 {
   instance->report = *report;
   instance->reported_us = now_us;
+  eel_finish_record (instance, report, now_us);
   instance->failures = 0;
   instance->avoid_until_us = 0;
   instance->shed_rate -= SHED_EWMA_WEIGHT * instance->shed_rate;
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -40,7 +40,8 @@
   void
   answered (const char *id, uint32_t use_milli, int64_t now_us)
   {
-    const struct eel_instance_report report = { use_milli, 0, 0, 0, 0 };
+    const struct eel_instance_report report
+        = { use_milli, 0, 0, 0, 0, 0, 0, 0 };
 
     eel_place_answered (eel_directory_find (&directory, id), &report, now_us);
   }
@@ -48,7 +49,7 @@
   const char *
   pick (int64_t now_us = 0)
   {
-    const struct eel_place_query query = { 0, nullptr, 0 };
+    const struct eel_place_query query = { 0, nullptr, 0, 0, 0 };
     struct eel_instance *found
         = eel_place_pick (&directory, &query, now_us, &rng);
 
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -81,7 +81,7 @@
   void
   run_to (int64_t end_us)
   {
-    const struct eel_place_query query = { 0, nullptr, 0 };
+    const struct eel_place_query query = { 0, nullptr, 0, 0, 0 };
 
     for (; now_us < end_us; now_us += 10 * EEL_US_PER_MS)
       {
@@ -96,8 +96,14 @@
         chosen.failed += (uint32_t)faulty;
         eel_fault_rate_record (&chosen.faults, faulty, now_us);
         const struct eel_instance_report report
-            = { chosen.use_milli, eel_fault_rate_milli (&chosen.faults, now_us),
-                chosen.hold_us, 0, 0 };
+            = { chosen.use_milli,
+                eel_fault_rate_milli (&chosen.faults, now_us),
+                chosen.hold_us,
+                0,
+                0,
+                0,
+                0,
+                0 };
 
         eel_place_answered (picked, &report, now_us);
         for (auto &each : upstreams)
@@ -177,7 +183,7 @@
     for (const char *id : { "far-1", "far-2" })
       {
         const struct eel_instance_report report
-            = { 100, 0, load.at (id).hold_us, 0, 0 };
+            = { 100, 0, load.at (id).hold_us, 0, 0, 0, 0, 0 };
 
         eel_place_answered (eel_directory_find (&directory, id), &report,
                             load.now_us);
--- /dev/null
+++ b/tests/unit/test_place_finish.cc
@@ -0,0 +1,339 @@
+#include <string>
+
+extern "C"
+{
+#include "eelgrasslatch/finish.h"
+}
+#include "uneven_service.h"
+
+namespace
+{
+// Short urgent work and long work.
+const std::vector<uneven_service::kind> SHORT_AND_LONG
+    = { { 55, 300, 700, 0.85 }, { 750, 2500, 10000, 0.15 } };
+const std::vector<uneven_service::kind> MIDDLE
+    = { { 190, 1500, 5000, 0.7 }, { 250, 2000, 5000, 0.3 } };
+const std::vector<double> WIDE = { 0.5, 1, 1, 1.5, 0.5, 1, 1, 1.5 };
+const std::vector<double> ONE_SLOW
+    = { 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2 };
+const std::vector<double> EQUAL (8, 1);
+
+// Above all slots.
+constexpr double NO_KNEE = 2;
+
+struct load
+{
+  const char *name;
+  std::vector<uneven_service::kind> kinds;
+  std::vector<double> speeds;
+  double use;
+  double slow_share;
+  double knee_from;
+  double report_late_s;
+  double report_lost;
+  double last_born_s;
+};
+
+const load LOADS[] = {
+  { "speeds", SHORT_AND_LONG, WIDE, 0.2, 0, NO_KNEE, 0, 0, -100 },
+  { "speeds", SHORT_AND_LONG, WIDE, 0.5, 0, NO_KNEE, 0, 0, -100 },
+  { "speeds", SHORT_AND_LONG, WIDE, 0.8, 0, NO_KNEE, 0, 0, -100 },
+  { "speeds", SHORT_AND_LONG, WIDE, 0.95, 0, NO_KNEE, 0, 0, -100 },
+  { "slow moments", MIDDLE, ONE_SLOW, 0.2, 0.15, NO_KNEE, 0, 0, -100 },
+  { "slow moments", MIDDLE, ONE_SLOW, 0.5, 0.15, NO_KNEE, 0, 0, -100 },
+  { "slow moments", MIDDLE, ONE_SLOW, 0.8, 0.15, NO_KNEE, 0, 0, -100 },
+  { "knee", SHORT_AND_LONG, WIDE, 0.8, 0, 0.95, 0, 0, -100 },
+  { "knee below the limit", SHORT_AND_LONG, WIDE, 0.7, 0, 0.8, 0, 0, -100 },
+  { "cold", SHORT_AND_LONG, { 1, 1, 1, 1 }, 0.65, 0, NO_KNEE, 0, 0, 5 },
+  { "late", SHORT_AND_LONG, WIDE, 0.8, 0, NO_KNEE, 0.2, 0.2, -100 },
+  { "late", SHORT_AND_LONG, WIDE, 0.8, 0, NO_KNEE, 1, 0.2, -100 },
+  { "late", SHORT_AND_LONG, WIDE, 0.8, 0, NO_KNEE, 2, 0.2, -100 },
+  { "late, slow moments", MIDDLE, ONE_SLOW, 0.8, 0.15, NO_KNEE, 0.2, 0.2,
+    -100 },
+  { "late, slow moments", MIDDLE, ONE_SLOW, 0.8, 0.15, NO_KNEE, 1, 0.2, -100 },
+  { "late, slow moments", MIDDLE, ONE_SLOW, 0.8, 0.15, NO_KNEE, 2, 0.2, -100 },
+};
+
+struct result
+{
+  double in_time = 0;
+  double served = 0;
+  double p99_ms = 0;
+  double queue = 0;
+};
+
+result
+play (const load &load, uneven_service::rule rule)
+{
+  constexpr uint64_t SEEDS = 3;
+  result result;
+
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      uneven_service service;
+
+      service.kinds = load.kinds;
+      service.speeds = load.speeds;
+      service.use = load.use;
+      service.slow_share = load.slow_share;
+      service.knee_from = load.knee_from;
+      service.knee_factor = 1.3;
+      service.report_late_s = load.report_late_s;
+      service.report_lost = load.report_lost;
+      service.last_born_s = load.last_born_s;
+      service.cold_s = 3;
+      service.run (rule, seed);
+      result.in_time += service.in_time_share () / SEEDS;
+      result.served += service.served_share () / SEEDS;
+      result.p99_ms += service.quantile_ms (0.99) / SEEDS;
+      result.queue += (double)service.greatest_queue / SEEDS;
+    }
+  return result;
+}
+}
+
+// Against a sender that knows the state of all endpoints, and against senders
+// that compare endpoints by their use.
+TEST (PlaceFinish, ServesNearlyWhatAnAllKnowingSenderServes)
+{
+  for (const load &load : LOADS)
+    {
+      result best = play (load, uneven_service::ALL_KNOWING);
+      result finish = play (load, uneven_service::FINISH);
+      result use = play (load, uneven_service::USE);
+
+      printf ("%-20s use %.2f late %.1f s: in time %.4f (by use %.4f, all "
+              "knowing %.4f) p99 %5.0f (%5.0f, %5.0f) ms queue %3.0f (%3.0f, "
+              "%3.0f)\n",
+              load.name, load.use, load.report_late_s, finish.in_time,
+              use.in_time, best.in_time, finish.p99_ms, use.p99_ms, best.p99_ms,
+              finish.queue, use.queue, best.queue);
+      EXPECT_GE (finish.in_time, best.in_time - 0.03) << load.name;
+      EXPECT_GE (finish.served, best.served - 0.03) << load.name;
+      EXPECT_GE (finish.in_time, use.in_time - 0.005) << load.name;
+    }
+}
+
+// While there is room, runs end sooner than by use.
+TEST (PlaceFinish, LongestTimesFall)
+{
+  for (const load &load : { LOADS[0], LOADS[1], LOADS[4], LOADS[5] })
+    {
+      result finish = play (load, uneven_service::FINISH);
+      result use = play (load, uneven_service::USE);
+
+      EXPECT_LT (finish.p99_ms, 0.95 * use.p99_ms) << load.name << load.use;
+    }
+}
+
+// Many senders with the same reports don't all follow them: no queue comes near
+// the bound of a gate's, although an all-knowing sender needs hardly any.
+TEST (PlaceFinish, SendersDoNotFollowOneReportTogether)
+{
+  for (double use : { 0.2, 0.5, 0.8 })
+    {
+      const load load
+          = { "herd", SHORT_AND_LONG, WIDE, use, 0, NO_KNEE, 0, 0, -100 };
+      result finish = play (load, uneven_service::FINISH);
+
+      EXPECT_LE (finish.queue, 2 * 34) << use;
+      EXPECT_LE (finish.queue, use < 0.5 ? 1 : EEL_GATE_QUEUE_MAX) << use;
+    }
+}
+
+TEST (PlaceFinish, EqualEndpointsAreServedAsByUse)
+{
+  for (double use : { 0.2, 0.5, 0.8, 0.95 })
+    {
+      const load load
+          = { "equal", SHORT_AND_LONG, EQUAL, use, 0, NO_KNEE, 0, 0, -100 };
+      result finish = play (load, uneven_service::FINISH);
+      result by_use = play (load, uneven_service::USE);
+
+      EXPECT_GE (finish.in_time, by_use.in_time - 0.005) << use;
+      EXPECT_GE (finish.served, by_use.served - 0.005) << use;
+      EXPECT_LE (finish.p99_ms, 1.1 * by_use.p99_ms) << use;
+    }
+}
+
+// With the same reports of equal endpoints the choices are the same ones.
+TEST (PlaceFinish, EqualEndpointsArePickedAsByUse)
+{
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      struct eel_instance storage[6] = {};
+      struct eel_directory directory;
+      struct eel_rng rng;
+      struct eel_rng rng_by_use;
+      struct eel_place_query query = { 0, nullptr, 0, 1, 7 };
+
+      eel_rng_init (&rng, seed);
+      eel_directory_init (&directory, storage, 6);
+      eel_directory_set_stable_since (&directory, 0);
+      for (uint32_t i = 0; i < 6; i++)
+        {
+          struct eel_instance instance = {};
+          struct eel_instance_report report = {};
+
+          snprintf (instance.id, sizeof instance.id, "%u", i);
+          instance.revision = 1;
+          instance.slots = 20;
+          instance.same_domain = 1;
+          eel_directory_put (&directory, &instance, 1);
+          report.use_milli = (uint32_t)eel_rng_below (&rng, 700);
+          report.speed_milli = 1000;
+          report.route = 7;
+          report.run_us = 50000;
+          eel_place_answered (
+              eel_directory_find (&directory, std::to_string (i).c_str ()),
+              &report, EEL_US_PER_S);
+        }
+      rng_by_use = rng;
+      struct eel_instance *picked
+          = eel_place_pick (&directory, &query, EEL_US_PER_S, &rng);
+      query.by_finish = 0;
+      EXPECT_EQ (picked, eel_place_pick (&directory, &query, EEL_US_PER_S,
+                                         &rng_by_use));
+    }
+}
+
+namespace
+{
+// Two endpoints as one sender sees them.
+struct pair_view
+{
+  struct eel_instance a = {};
+  struct eel_instance b = {};
+  int64_t now_us = 100 * EEL_US_PER_S;
+
+  pair_view ()
+  {
+    a.slots = b.slots = 20;
+  }
+
+  void
+  report (struct eel_instance *instance,
+          uint32_t use_milli,
+          uint32_t speed_milli,
+          int64_t run_us,
+          int64_t age_us = 0)
+  {
+    struct eel_instance_report report = {};
+
+    report.use_milli = use_milli;
+    report.speed_milli = speed_milli;
+    report.route = 7;
+    report.run_us = run_us;
+    eel_place_answered (instance, &report, now_us - age_us);
+  }
+
+  uint64_t
+  cost (const struct eel_instance &instance) const
+  {
+    struct eel_finish_view view;
+
+    eel_finish_view_init (&view, 7, 300, now_us);
+    eel_finish_view_add (&view, &a);
+    eel_finish_view_add (&view, &b);
+    return eel_finish_cost_milli (&view, &instance);
+  }
+};
+}
+
+TEST (Finish, SlowEndpointIsToldFromABusyOne)
+{
+  pair_view view;
+
+  view.report (&view.a, 100, 1000, 100000);
+  view.report (&view.b, 700, 1000, 50000);
+  EXPECT_GT (view.cost (view.a), view.cost (view.b));
+  view.report (&view.b, 700, 1000, 90000);
+  EXPECT_LT (view.cost (view.a), view.cost (view.b));
+}
+
+TEST (Finish, SlowMomentCountsForLessAsItsReportAges)
+{
+  pair_view view;
+  uint64_t fresh;
+
+  view.report (&view.a, 300, 400, 50000);
+  view.report (&view.b, 300, 1000, 50000);
+  fresh = view.cost (view.a);
+  EXPECT_GT (fresh, view.cost (view.b) + 1000);
+  view.report (&view.a, 300, 400, 50000, 400 * EEL_US_PER_MS);
+  EXPECT_LT (view.cost (view.a), fresh);
+  view.report (&view.a, 300, 400, 50000, 1000 * EEL_US_PER_MS);
+  EXPECT_EQ (view.cost (view.a), view.cost (view.b));
+}
+
+TEST (Finish, TimeOfARouteIsLearnedAnewAfterSeconds)
+{
+  pair_view view;
+
+  view.report (&view.a, 0, 1000, 500000, 5 * EEL_US_PER_S);
+  view.report (&view.b, 0, 1000, 50000, 5 * EEL_US_PER_S);
+  EXPECT_GT (view.cost (view.a), view.cost (view.b) + 5000);
+  view.report (&view.a, 0, 1000, 500000, 7 * EEL_US_PER_S);
+  EXPECT_EQ (view.cost (view.a), view.cost (view.b));
+  // One request at a time finds out.
+  eel_place_sent (&view.a);
+  view.report (&view.b, 0, 1000, 50000);
+  EXPECT_GT (view.cost (view.a), view.cost (view.b));
+}
+
+TEST (Finish, OwnRequestsSinceTheReportCount)
+{
+  pair_view view;
+  uint64_t before;
+
+  view.report (&view.a, 300, 1000, 50000);
+  view.report (&view.b, 300, 1000, 50000);
+  before = view.cost (view.a);
+  eel_place_sent (&view.a);
+  eel_place_sent (&view.a);
+  EXPECT_EQ (view.cost (view.a), before + 100);
+  view.report (&view.a, 400, 1000, 50000);
+  EXPECT_EQ (view.cost (view.a), before + 100);
+}
+
+TEST (Finish, ColdEndpointCountsAsHalfAsFast)
+{
+  pair_view view;
+
+  view.report (&view.a, 300, 1000, 50000);
+  view.report (&view.b, 300, 1000, 50000);
+  view.a.cold_until_us = view.now_us + 1;
+  EXPECT_EQ (view.cost (view.a), view.cost (view.b) + 1000);
+}
+
+// A report of another route tells nothing about this one's time.
+TEST (Finish, RoutesAreComparedApart)
+{
+  pair_view view;
+  struct eel_instance_report other = {};
+
+  view.report (&view.a, 300, 1000, 50000);
+  view.report (&view.b, 300, 1000, 50000);
+  other.use_milli = 300;
+  other.speed_milli = 1000;
+  other.route = 8;
+  other.run_us = 900000;
+  eel_place_answered (&view.a, &other, view.now_us);
+  EXPECT_EQ (view.cost (view.a), view.cost (view.b));
+}
+
+TEST (Finish, RouteReportedLongestAgoGivesWay)
+{
+  struct eel_instance instance = {};
+
+  for (uint64_t route = 1; route <= EEL_INSTANCE_RUNS_MAX + 1; route++)
+    {
+      struct eel_instance_report report = {};
+
+      report.route = route;
+      report.run_us = 1000;
+      eel_place_answered (&instance, &report, (int64_t)route);
+    }
+  for (const auto &run : instance.runs)
+    EXPECT_GT (run.route, 1u);
+}
--- a/tests/unit/test_place_overload.cc
+++ b/tests/unit/test_place_overload.cc
@@ -116,7 +116,13 @@
         {
           const struct eel_instance_report report
               = { (gates[d].running + gates[d].queued) * 1000 / gates[d].limit,
-                  0, 0, 0, 0 };
+                  0,
+                  0,
+                  0,
+                  0,
+                  0,
+                  0,
+                  0 };
 
           eel_place_answered (eel_directory_find (&directories[sender],
                                                   std::to_string (d).c_str ()),
@@ -131,7 +137,8 @@
 
     if (all_knowing)
       tell_all (each.sender, now_us);
-    const struct eel_place_query query = { 0, each.tried, each.tried_count };
+    const struct eel_place_query query
+        = { 0, each.tried, each.tried_count, 0, 0 };
     struct eel_instance *picked
         = each.tried_count == 6 ? nullptr
                                 : eel_place_pick (&directories[each.sender],
@@ -220,7 +227,8 @@
         &directories[each.sender], std::to_string (each.at).c_str ());
 
     eel_place_done (instance, 1);
-    const struct eel_instance_report report = { next.use_milli, 0, 0, 0, 0 };
+    const struct eel_instance_report report
+        = { next.use_milli, 0, 0, 0, 0, 0, 0, 0 };
 
     eel_place_answered (instance, &report, next.at_us);
     if (next.what == REFUSED)
