--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -37,8 +37,11 @@
   attempt->running = 0;
   eel_crash_trial_ended (attempt);
   eel_gate_done (&attempt->relay->gate, held_us, now_us);
-  if (held_us >= 0)
-    eel_metric_observe (attempt->relay->counters.hold, held_us);
+  if (held_us < 0)
+    return;
+  eel_run_times_record (&attempt->relay->run_times, attempt->call.route,
+                        held_us, now_us);
+  eel_metric_observe (attempt->relay->counters.hold, held_us);
 }
 
 /*
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -20,6 +20,10 @@
 /* Bounds of what a node may report of its endpoint. */
 #define USE_MAX_MILLI 1000000
 #define LOAD_TIME_MAX_US (3600 * EEL_US_PER_S)
+#define SPEED_MAX_MILLI 100000
+/* Numbers in the field, and in that of earlier versions. */
+#define LOAD_FIELDS 10
+#define LOAD_FIELDS_EARLIER 8
 
 static void
 release_instance (struct eel_attempt *attempt)
@@ -43,21 +47,30 @@
   attempt->ops->fail (attempt->owner, failure, reason);
 }
 
-/* Returns 0 when the text is malformed or no node could report such a load. */
+/* Returns 0 when the text is malformed or no node could report such a load.
+   Nodes of earlier versions end it after the limit. */
 static int
 parse_load (const char *text, struct eel_relay_load *load)
 {
   struct eel_instance_report *endpoint = &load->endpoint;
-
   unsigned has_limit = 0;
-  int count = sscanf (
-      text, "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64 " %u %" SCNu64,
-      &endpoint->use_milli, &load->wait_us, &load->callee_pressure_milli,
-      &load->revision, &endpoint->fault_milli, &endpoint->hold_us, &has_limit,
-      &endpoint->limit_milli);
+  int end = 0;
+  int count;
 
+  memset (load, 0, sizeof *load);
+  count = sscanf (text,
+                  "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64 " %u %" SCNu64
+                  "%n %u %" SCNd64 "%n",
+                  &endpoint->use_milli, &load->wait_us,
+                  &load->callee_pressure_milli, &load->revision,
+                  &endpoint->fault_milli, &endpoint->hold_us, &has_limit,
+                  &endpoint->limit_milli, &end, &endpoint->speed_milli,
+                  &endpoint->run_us, &end);
   endpoint->has_limit = (uint8_t)has_limit;
-  return count == 8 && has_limit <= 1
+  return (count == LOAD_FIELDS_EARLIER || count == LOAD_FIELDS)
+         && text[end] == 0 && has_limit <= 1
+         && endpoint->speed_milli <= SPEED_MAX_MILLI && endpoint->run_us >= 0
+         && endpoint->run_us <= LOAD_TIME_MAX_US
          && endpoint->limit_milli <= (uint64_t)(EEL_RATE_MAX * 1000)
          && endpoint->use_milli <= USE_MAX_MILLI
          && endpoint->fault_milli <= 1000 && endpoint->hold_us >= 0
@@ -80,6 +93,7 @@
                  attempt->call.instance_id);
       return;
     }
+  load.endpoint.route = attempt->call.route;
   eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -355,9 +355,12 @@
 static struct eel_instance *
 next_instance (struct eel_entry *entry)
 {
-  const struct eel_place_query query = { .service = entry->call.service,
-                                         .tried = entry->tried,
-                                         .tried_count = entry->tried_count };
+  const struct eel_place_query query
+      = { .service = entry->call.service,
+          .tried = entry->tried,
+          .tried_count = entry->tried_count,
+          .by_finish = entry->relay->config.by_finish,
+          .route = entry->call.route };
   struct eel_instance *instance = NULL;
 
   if (entry->replay == NULL || entry->tried_count == EEL_ENTRY_TRIES_MAX)
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -62,11 +62,12 @@
   if (lines != NULL)
     evbuffer_add_printf (lines,
                          "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64
-                         " %u %" PRIu64 "\r\n",
+                         " %u %" PRIu64 " %u %" PRId64 "\r\n",
                          EEL_RELAY_LOAD, load.endpoint.use_milli, load.wait_us,
                          load.callee_pressure_milli, load.revision,
                          load.endpoint.fault_milli, load.endpoint.hold_us,
-                         load.endpoint.has_limit, load.endpoint.limit_milli);
+                         load.endpoint.has_limit, load.endpoint.limit_milli,
+                         load.endpoint.speed_milli, load.endpoint.run_us);
   if (lines != NULL)
     eel_crash_write (relay, fingerprint, lines);
   return lines;
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -25,6 +25,10 @@
   load->endpoint.fault_milli
       = eel_fault_rate_milli (&relay->fault_rate, now_us);
   load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
+  load->endpoint.speed_milli
+      = eel_run_times_speed_milli (&relay->run_times, now_us);
+  load->endpoint.route = route;
+  load->endpoint.run_us = eel_run_times_usual_us (&relay->run_times, route);
   load->endpoint.has_limit = (uint8_t)(relay->gate.rate.per_s >= 0);
   load->endpoint.limit_milli = load->endpoint.has_limit
                                    ? (uint64_t)(relay->gate.rate.per_s * 1000)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -55,12 +55,13 @@
     return;
   g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
              "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-             " callers=%u links=%u faults=%u endpoint_limit=%.1f",
+             " callers=%u links=%u faults=%u endpoint_limit=%.1f speed=%u",
              gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
              gate->started - relay->load_logged_started, gate->refused,
              relay->callers.exchange_count, relay->endpoint_pool.open_count,
              eel_fault_rate_milli (&relay->fault_rate, now_us),
-             gate->rate.per_s);
+             gate->rate.per_s,
+             eel_run_times_speed_milli (&relay->run_times, now_us));
   relay->load_logged_us = now_us;
   relay->load_logged_started = gate->started;
 }
@@ -112,6 +113,8 @@
   eel_metric_set (relay->counters.cut_callers, relay->callers.cut);
   eel_metric_set (relay->counters.cut_peers, relay->peers.cut);
   eel_metric_set (relay->counters.turned_away, relay->callers.refused);
+  eel_metric_set (relay->counters.speed,
+                  eel_run_times_speed_milli (&relay->run_times, now_us));
   log_load (relay, now_us);
 }
 
@@ -153,6 +156,9 @@
   counters->hold = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
                                     "eel_relay_slot_seconds", "",
                                     "Time that a request holds a slot.");
+  counters->speed = eel_metrics_get (
+      metrics, EEL_METRIC_GAUGE, "eel_endpoint_speed_milli", "",
+      "Speed of this node's endpoint in thousandths of its usual one.");
 }
 
 /* Each endpoint has a node: they share the fixed retries of a window. */
@@ -192,6 +198,7 @@
   eel_entry_gate_init (&relay->entry_gate);
   eel_call_costs_init (&relay->call_costs);
   eel_fault_rate_init (&relay->fault_rate);
+  eel_run_times_init (&relay->run_times);
   eel_crash_watch_init (&relay->crash_watch, eel_rng_next (&relay->rng));
   eel_quarantine_init (&relay->quarantine, relay->quarantine_entries,
                        EEL_RELAY_QUARANTINE_MAX, QUARANTINE_LIFE_US);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -12,6 +12,7 @@
 #include "eelgrasslatch/gate.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
+#include "eelgrasslatch/run_times.h"
 #include "eelgrasslatch/team_table.h"
 #include "eelgrasslatch/team_use.h"
 #include "internal/metrics.h"
@@ -88,6 +89,8 @@
   /* Age of the knowledge of teams beyond which no key is served; 0: any age
      will do. */
   int64_t teams_max_age_us;
+  /* Place requests by the expected end of their run. */
+  uint8_t by_finish;
 };
 
 struct eel_relay_counters
@@ -108,6 +111,8 @@
   struct eel_metric *turned_away;
   struct eel_metric *latency;
   struct eel_metric *hold;
+  /* Present speed of this node's endpoint. */
+  struct eel_metric *speed;
 };
 
 /* Load of an endpoint, which its node reports with each answer. */
@@ -142,6 +147,8 @@
   struct eel_team_use team_use;
   struct eel_directory directory;
   struct eel_gate gate;
+  /* Of this node's endpoint. */
+  struct eel_run_times run_times;
   struct eel_entry_gate entry_gate;
   struct eel_call_costs call_costs;
   struct eel_crash_watch crash_watch;
--- a/tests/unit/test_relay_answers.cc
+++ b/tests/unit/test_relay_answers.cc
@@ -54,13 +54,26 @@
 // Guards against loads that no node can have, from which sums would overflow.
 TEST (RelayAnswers, MalformedLoadOfAPeerIsIgnored)
 {
-  for (const char *load :
-       { "", "1 2 3", "100 0 0 7 0 0 0", "x 0 0 7 0 0 0 0",
-         "4000000000 0 0 7 0 0 0 0", "100 -1 0 7 0 0 0 0",
-         "100 0 0 7 1001 0 0 0", "100 0 0 7 0 -1 0 0",
-         "100 0 0 7 0 9223372036854775807 0 0",
-         "100 9223372036854775807 0 7 0 0 0 0", "100 0 0 7 0 0 2 0",
-         "100 0 0 7 0 0 1 9000000000000", "100 0 0 7 0 0 1 -1" })
+  for (const char *load : { "",
+                            "1 2 3",
+                            "100 0 0 7 0 0 0",
+                            "x 0 0 7 0 0 0 0",
+                            "4000000000 0 0 7 0 0 0 0",
+                            "100 -1 0 7 0 0 0 0",
+                            "100 0 0 7 1001 0 0 0",
+                            "100 0 0 7 0 -1 0 0",
+                            "100 0 0 7 0 9223372036854775807 0 0",
+                            "100 9223372036854775807 0 7 0 0 0 0",
+                            "100 0 0 7 0 0 2 0",
+                            "100 0 0 7 0 0 1 9000000000000",
+                            "100 0 0 7 0 0 1 -1",
+                            "100 0 0 7 0 0 0 0 1000",
+                            "100 0 0 7 0 0 0 0 1000 5 6",
+                            "100 0 0 7 0 0 0 0x",
+                            "100 0 0 7 0 0 0 0 1000 5x",
+                            "100 0 0 7 0 0 0 0 100001 5",
+                            "100 0 0 7 0 0 0 0 1000 -1",
+                            "100 0 0 7 0 0 0 0 1000 9223372036854775807" })
     {
       relay_cluster cluster (1);
       raw_upstream peer;
@@ -91,6 +104,52 @@
     }
 }
 
+// A peer reports the speed of its endpoint and the time of the request's route,
+// or, by an earlier version, neither.
+TEST (RelayAnswers, LoadOfAPeerIsRecorded)
+{
+  const struct
+  {
+    const char *load;
+    uint32_t speed_milli;
+    int64_t run_us;
+  } cases[] = { { "100 0 0 7 20 30 0 0 400 90000", 400, 90000 },
+                { "100 0 0 7 20 30 0 0", 0, 0 } };
+
+  for (const auto &each : cases)
+    {
+      relay_cluster cluster (1);
+      raw_upstream peer;
+      struct eel_relay *relay = &cluster.nodes[0]->relay;
+      struct eel_instance instance = entry_of_peer (relay);
+      auto caller = cluster.connect ();
+      const struct eel_instance *seen;
+
+      peer.open (cluster.base, "127.0.0.2",
+                 ntohs (relay->config.peers.sin_port));
+      peer.answer = [&each] (raw_upstream &, raw_conn &conn,
+                             const std::string &request) {
+        raw_upstream::write (conn, answer_text (request, "right", "200 OK",
+                                                std::string ("Eel-Load: ")
+                                                    + each.load + "\r\n"));
+      };
+      cluster.set_routes ();
+      eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+      raw_upstream::write (*caller, request_text ("GET", "/safe/a", "r1"));
+      ASSERT_TRUE (cluster.run_until ([&] { return !peer.conns.empty (); }));
+      raw_upstream::write (*peer.conns[0], "HTTP/1.1 100 Continue\r\n\r\n");
+      ASSERT_TRUE (cluster.run_until ([&] {
+        return caller->in.find ("right") != std::string::npos;
+      })) << each.load;
+      seen = eel_directory_find (&relay->directory, "up-2");
+      EXPECT_EQ (seen->report.use_milli, 100u) << each.load;
+      EXPECT_EQ (seen->report.hold_us, 30) << each.load;
+      EXPECT_EQ (seen->report.speed_milli, each.speed_milli) << each.load;
+      EXPECT_EQ (seen->runs[0].run_us, each.run_us) << each.load;
+      bufferevent_free (caller->bev);
+    }
+}
+
 // The same between nodes: a peer sends an answer of another request before the
 // one that is waited for.
 TEST (RelayAnswers, AnswerOfAnotherRequestFromAPeerIsDiscarded)
