--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -95,6 +95,8 @@
   /* Requests that were sent there since. */
   uint32_t sent_since_report;
   struct eel_instance_run runs[EEL_INSTANCE_RUNS_MAX];
+  /* Maintained by spared.h. */
+  uint8_t spared;
   /* Avoided until this time; grows with consecutive failures. */
   int64_t avoid_until_us;
   uint32_t failures;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -115,6 +115,7 @@
   eel_metric_set (relay->counters.turned_away, relay->callers.refused);
   eel_metric_set (relay->counters.speed,
                   eel_run_times_speed_milli (&relay->run_times, now_us));
+  eel_relay_review_spared (relay, now_us);
   log_load (relay, now_us);
 }
 
@@ -159,6 +160,9 @@
   counters->speed = eel_metrics_get (
       metrics, EEL_METRIC_GAUGE, "eel_endpoint_speed_milli", "",
       "Speed of this node's endpoint in thousandths of its usual one.");
+  counters->spared = eel_metrics_get (
+      metrics, EEL_METRIC_GAUGE, "eel_endpoints_spared", "",
+      "Endpoints that take twice as long as the fastest of a route.");
 }
 
 /* Each endpoint has a node: they share the fixed retries of a window. */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -113,6 +113,8 @@
   struct eel_metric *hold;
   /* Present speed of this node's endpoint. */
   struct eel_metric *speed;
+  /* Endpoints that this node spares. */
+  struct eel_metric *spared;
 };
 
 /* Load of an endpoint, which its node reports with each answer. */
@@ -199,6 +201,7 @@
   uint64_t revision;
   uint64_t peer_revision;
   int64_t load_logged_us;
+  int64_t spared_reviewed_us;
   uint64_t load_logged_started;
   struct eel_relay_counters counters;
 };
@@ -248,6 +251,8 @@
                             uint64_t route,
                             int64_t target_us,
                             const struct eel_relay_load *load);
+/* Logs which endpoints this node spares, at most once a second. */
+void eel_relay_review_spared (struct eel_relay *relay, int64_t now_us);
 /* Gives back the numbers of service names that are not in use, once there may
    be as many of these as of the others. */
 void eel_relay_collect_names (struct eel_relay *relay);
--- a/tests/unit/test_place_finish.cc
+++ b/tests/unit/test_place_finish.cc
@@ -3,6 +3,7 @@
 extern "C"
 {
 #include "eelgrasslatch/finish.h"
+#include "eelgrasslatch/spared.h"
 }
 #include "uneven_service.h"
 
@@ -337,3 +338,64 @@
   for (const auto &run : instance.runs)
     EXPECT_GT (run.route, 1u);
 }
+
+namespace
+{
+void
+on_changed (void *data, const struct eel_spared_change *change)
+{
+  *(std::string *)data += std::string (change->instance->id) + "="
+                          + std::to_string (change->instance->spared) + " "
+                          + std::to_string (change->run_us) + "/"
+                          + std::to_string (change->fastest_us) + " ";
+}
+}
+
+// An endpoint is spared from twice the fastest one's time on, until it is below
+// one and a half times or nothing is known of it any more.
+TEST (Spared, SlowEndpointIsToldOnceAtEachChange)
+{
+  struct eel_instance storage[4] = {};
+  struct eel_directory directory;
+  int64_t now_us = 100 * EEL_US_PER_S;
+  const struct
+  {
+    int64_t run_us[2];
+    const char *lines;
+    uint32_t spared;
+  } steps[] = { { { 50000, 99000 }, "", 0 },
+                { { 50000, 100000 }, "b=1 100000/50000 ", 1 },
+                { { 50000, 80000 }, "", 1 },
+                { { 50000, 74000 }, "b=0 74000/50000 ", 0 },
+                { { 160000, 74000 }, "a=1 160000/74000 ", 1 },
+                { { 0, 0 }, "a=0 0/0 ", 0 } };
+
+  eel_directory_init (&directory, storage, 4);
+  eel_directory_set_stable_since (&directory, 0);
+  for (const char *id : { "a", "b" })
+    {
+      struct eel_instance instance = {};
+
+      snprintf (instance.id, sizeof instance.id, "%s", id);
+      instance.revision = 1;
+      eel_directory_put (&directory, &instance, 1);
+    }
+  for (const auto &step : steps)
+    {
+      std::string lines;
+
+      now_us += step.run_us[0] > 0 ? EEL_US_PER_S : 10 * EEL_US_PER_S;
+      for (uint32_t i = 0; i < 2 && step.run_us[i] > 0; i++)
+        {
+          struct eel_instance_report report = {};
+
+          report.route = 7;
+          report.run_us = step.run_us[i];
+          eel_place_answered (eel_directory_find (&directory, i ? "b" : "a"),
+                              &report, now_us);
+        }
+      EXPECT_EQ (eel_spared_review (&directory, now_us, on_changed, &lines),
+                 step.spared);
+      EXPECT_EQ (lines, step.lines);
+    }
+}
