--- a/tests/run/test_cli.sh
+++ b/tests/run/test_cli.sh
@@ -21,6 +21,12 @@
 printf '[node]\nid = 0\n' >"$dir/bad.toml"
 expect 78 "$BUILD/eelgrasslatchd" --check-config "$dir/bad.toml"
 grep -q "^$dir/bad.toml:2: id: must be a whole number from 1 to 2147483647$" "$dir/out"
+expect 0 "$BUILD/eelgrasslatch-platformd" --help
+grep -q -- "--place=use|finish" "$dir/out"
+expect 64 "$BUILD/eelgrasslatch-platformd" --place=fast
+grep -q "^--place: 'fast' is neither use nor finish$" "$dir/out"
+printf '{}' >"$dir/bad.json"
+expect 78 "$BUILD/eelgrasslatch-platformd" --place=finish --check-config "$dir/bad.json"
 expect 0 "$BUILD/eelgrasslatchctl" --version
 expect 0 "$BUILD/eelgrasslatchctl" --help
 expect 64 "$BUILD/eelgrasslatchctl" nonsense
