Bound the cost of a slow endpoint below that of one in backoff

A report at its bounds (speed 1, an hour a run) gave a cost above that of an endpoint that had failed a moment ago. Also 8 instead of 4 routes an endpoint: services with idle routes beside those in use stay known.

PlaceFinish.SlowestEndpointGoesBeforeOneInBackoff.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -62,7 +62,7 @@
 
 /* Routes of which times are kept; the one that was reported longest ago gives
    way. */
-#define EEL_INSTANCE_RUNS_MAX 4
+#define EEL_INSTANCE_RUNS_MAX 8
 
 struct eel_instance
 {
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -49,10 +49,12 @@
 
 /* By expected end of the run: cost above which an endpoint of the own domain is
  * not preferred (four times the fastest one's), what is added for those that
- * are not, and the growth of the random spread with the use and with the part
- * of it that is not known. */
+ * are not, the greatest cost, below that of an endpoint in backoff, and the
+ * growth of the random spread with the use and with the part of it that is not
+ * known. */
 #define FINISH_SPILL_MILLI 3000
 #define FINISH_SPILL_COST_MILLI 50000
+#define FINISH_COST_MAX_MILLI 500000
 #define DOUBT_FACTOR 8
 
 /* Consecutive failures from which on an endpoint gets one request at a time. */
@@ -221,6 +223,8 @@
       = NOISE_MILLI
         + use * eel_finish_doubt_milli (finish, instance) / 1000 * DOUBT_FACTOR;
 
+  if (end_milli > FINISH_COST_MAX_MILLI)
+    end_milli = FINISH_COST_MAX_MILLI;
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
       && fault_milli < FAULT_SPILL_MILLI && end_milli < FINISH_SPILL_MILLI)
--- a/tests/unit/test_place_finish.cc
+++ b/tests/unit/test_place_finish.cc
@@ -399,3 +399,37 @@
       EXPECT_EQ (lines, step.lines);
     }
 }
+
+// Reports at their bounds: an endpoint that claims to be a million times slower
+// is still tried before one that failed a moment ago.
+TEST (PlaceFinish, SlowestEndpointGoesBeforeOneInBackoff)
+{
+  struct eel_instance storage[3] = {};
+  struct eel_directory directory;
+  struct eel_rng rng;
+  const int64_t now_us = 100 * EEL_US_PER_S;
+  const struct eel_place_query query = { 0, nullptr, 0, 1, 7 };
+
+  eel_rng_init (&rng, 1);
+  eel_directory_init (&directory, storage, 3);
+  eel_directory_set_stable_since (&directory, 0);
+  for (const char *id : { "fast", "slow" })
+    {
+      struct eel_instance instance = {};
+      struct eel_instance_report report = {};
+
+      snprintf (instance.id, sizeof instance.id, "%s", id);
+      instance.revision = 1;
+      instance.slots = 20;
+      instance.same_domain = 1;
+      instance.cold_until_us = now_us + 1;
+      eel_directory_put (&directory, &instance, 1);
+      report.speed_milli = id[0] == 'f' ? 100000 : 1;
+      report.route = 7;
+      report.run_us = id[0] == 'f' ? 1 : 3600 * EEL_US_PER_S;
+      eel_place_answered (eel_directory_find (&directory, id), &report, now_us);
+    }
+  EXPECT_STREQ (eel_place_pick (&directory, &query, now_us, &rng)->id, "fast");
+  eel_place_failed (eel_directory_find (&directory, "fast"), now_us);
+  EXPECT_STREQ (eel_place_pick (&directory, &query, now_us, &rng)->id, "slow");
+}
