Count what crosses failure domains, by service and cause

Nothing told which requests leave their domain, why, and what that costs in bytes. Each node counts requests by cause, those of them that the reports let expect in time at home, and the bytes of heads and bodies both ways, as metrics and as a line each 10 s; bytes of news and of the store's items apart.

--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -25,6 +25,22 @@
 /* Use of the limit, in thousandths, above which requests leave the domain. */
 #define EEL_PLACE_SPILL_MILLI 900
 
+/* Why a request goes to another domain: what kept the best endpoint of the own
+   domain from being preferred. */
+enum eel_leave_cause
+{
+  EEL_LEAVE_NO_ENDPOINT,
+  /* All of them were tried. */
+  EEL_LEAVE_TRIED,
+  /* Failed a moment ago. */
+  EEL_LEAVE_AVOIDED,
+  EEL_LEAVE_FAULTS,
+  EEL_LEAVE_SLOW,
+  EEL_LEAVE_SHED,
+  EEL_LEAVE_USE,
+  EEL_LEAVE_CAUSE_COUNT
+};
+
 struct eel_place_query
 {
   uint32_t service;
@@ -46,6 +62,40 @@
                                          const struct eel_place_query *query,
                                          uint64_t fingerprint,
                                          int64_t now_us);
+/* What is known of one endpoint of a service. */
+struct eel_place_seen
+{
+  const struct eel_instance *instance;
+  uint8_t tried;
+  /* It has reported a moment ago, before age_us. */
+  uint8_t is_fresh;
+  /* What would keep it from being preferred; EEL_LEAVE_USE: only its use. */
+  enum eel_leave_cause obstacle;
+  /* Expected use of its slots in thousandths. */
+  uint32_t use_milli;
+  int64_t age_us;
+  /* Mean time that a request holds a slot; 0: unknown. */
+  int64_t hold_us;
+};
+
+/* Calls each for the usable endpoints of the service. */
+void eel_place_describe (const struct eel_directory *directory,
+                         const struct eel_place_query *query,
+                         int64_t now_us,
+                         void (*each) (void *data,
+                                       const struct eel_place_seen *seen),
+                         void *data);
+/*
+ * Returns why an endpoint of another domain was picked.  Sets home_us to the
+ * least time to an answer, queueing included, that the reports let expect of an
+ * endpoint of the own domain that was not tried and does not fail; 0: there is
+ * none.
+ */
+enum eel_leave_cause
+eel_place_leave_cause (const struct eel_directory *directory,
+                       const struct eel_place_query *query,
+                       int64_t now_us,
+                       int64_t *home_us);
 void eel_place_sent (struct eel_instance *instance);
 void eel_place_answered (struct eel_instance *instance,
                          const struct eel_instance_report *report,
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -150,6 +150,7 @@
 {
   struct eel_attempt *attempt = owner;
 
+  attempt->answer_body_bytes += bytes;
   if (!attempt->is_refusal)
     attempt->ops->body (attempt->owner, data, bytes);
 }
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -120,6 +120,7 @@
   /* The answer is a refusal of this kind and is not relayed. */
   uint8_t is_refusal;
   uint64_t refusal_bytes;
+  uint64_t answer_body_bytes;
   enum eel_attempt_failure refusal;
 };
 
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -36,6 +36,29 @@
   attempt->running = 0;
 }
 
+/* Counts what was sent to another failure domain, and what has come back. */
+static void
+count_traffic (const struct eel_attempt *attempt, const struct eel_link *link)
+{
+  struct eel_relay *relay = attempt->relay;
+  const char *service = eel_service_name (&relay->names, attempt->call.service);
+  uint64_t request_body = link->body_bytes;
+  uint64_t answer_body = attempt->answer_body_bytes;
+
+  if (attempt->instance->same_domain)
+    return;
+  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+                            EEL_TRAFFIC_REQUEST_HEAD,
+                            link->written_bytes - request_body);
+  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+                            EEL_TRAFFIC_REQUEST_BODY, request_body);
+  eel_domain_traffic_bytes (
+      &relay->domain_traffic, service, EEL_TRAFFIC_ANSWER_HEAD,
+      link->read_bytes > answer_body ? link->read_bytes - answer_body : 0);
+  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+                            EEL_TRAFFIC_ANSWER_BODY, answer_body);
+}
+
 static void
 fail (struct eel_attempt *attempt,
       enum eel_attempt_failure failure,
@@ -133,6 +156,7 @@
           && now_us - attempt->accepted_us > ACCEPT_TIMEOUT_US)
         {
           attempt->link = NULL;
+          count_traffic (attempt, link);
           eel_link_cancel (link);
           fail (attempt, EEL_FAILURE_BROKEN, "node is silent");
           /* The callback may have closed any link: start again. */
@@ -153,6 +177,7 @@
 
   (void)fd;
   (void)what;
+  count_traffic (attempt, attempt->link);
   eel_link_cancel (attempt->link);
   attempt->link = NULL;
   fail (attempt, EEL_FAILURE_UNREACHABLE, "node does not take it");
@@ -189,6 +214,7 @@
 {
   struct eel_attempt *attempt = owner;
 
+  count_traffic (attempt, attempt->link);
   attempt->link = NULL;
   attempt->answer_done = 1;
   release_instance (attempt);
@@ -210,6 +236,7 @@
   struct eel_attempt *attempt = owner;
 
   (void)sent;
+  count_traffic (attempt, attempt->link);
   attempt->link = NULL;
   fail (attempt,
         attempt->accepted ? EEL_FAILURE_BROKEN : EEL_FAILURE_UNREACHABLE,
@@ -266,7 +293,10 @@
 remote_cancel (struct eel_attempt *attempt)
 {
   if (attempt->link != NULL)
-    eel_link_cancel (attempt->link);
+    {
+      count_traffic (attempt, attempt->link);
+      eel_link_cancel (attempt->link);
+    }
   attempt->link = NULL;
   release_instance (attempt);
 }
--- a/src/relay/crash_news.c
+++ b/src/relay/crash_news.c
@@ -22,6 +22,8 @@
   struct eel_relay *relay;
   struct eel_pool *pool;
   struct eel_link *link;
+  /* It goes to another failure domain. */
+  uint8_t crosses;
 };
 
 static int
@@ -46,6 +48,9 @@
 {
   struct news *news = owner;
 
+  if (news->crosses)
+    eel_metric_add (news->relay->domain_traffic.news_bytes,
+                    news->link->written_bytes + news->link->read_bytes);
   g_ptr_array_remove_fast (news->relay->news, news);
 }
 
@@ -84,9 +89,11 @@
 }
 
 static void
-send_to (struct eel_relay *relay, uint32_t ip, struct evbuffer *lines)
+send_to (struct eel_relay *relay,
+         const struct eel_instance *instance,
+         struct evbuffer *lines)
 {
-  struct eel_pool *pool = eel_relay_pool (relay, ip);
+  struct eel_pool *pool = eel_relay_pool (relay, instance->ip);
   struct evbuffer *head = evbuffer_new ();
   struct news *news;
 
@@ -100,6 +107,7 @@
   news = g_new0 (struct news, 1);
   news->relay = relay;
   news->pool = pool;
+  news->crosses = !instance->same_domain;
   evbuffer_add_printf (head, "POST /crash HTTP/1.1\r\nHost: node\r\n%s: 1\r\n",
                        EEL_RELAY_NEWS);
   evbuffer_add (head, evbuffer_pullup (lines, -1), evbuffer_get_length (lines));
@@ -131,7 +139,7 @@
           || instance->ip == relay->config.ip.s_addr
           || !eel_instance_listed (instance))
         continue;
-      send_to (relay, instance->ip, lines);
+      send_to (relay, instance, lines);
       sent++;
     }
   return sent;
--- /dev/null
+++ b/src/relay/domain_traffic.c
@@ -0,0 +1,166 @@
+#include "relay/domain_traffic.h"
+
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "eelgrasslatch/types.h"
+#include "internal/task.h"
+
+#define LINE_INTERVAL_US (10 * EEL_US_PER_S)
+/* Name of the row that services without one share. */
+#define OTHERS "-"
+
+static const char *const cause_names[EEL_LEAVE_CAUSE_COUNT] = {
+  [EEL_LEAVE_NO_ENDPOINT] = "no_endpoint",
+  [EEL_LEAVE_TRIED] = "tried",
+  [EEL_LEAVE_AVOIDED] = "avoided",
+  [EEL_LEAVE_FAULTS] = "faults",
+  [EEL_LEAVE_SLOW] = "slow",
+  [EEL_LEAVE_SHED] = "shed",
+  [EEL_LEAVE_USE] = "use",
+};
+
+static const char *const part_names[EEL_TRAFFIC_PART_COUNT] = {
+  [EEL_TRAFFIC_REQUEST_HEAD] = "request_head",
+  [EEL_TRAFFIC_REQUEST_BODY] = "request_body",
+  [EEL_TRAFFIC_ANSWER_HEAD] = "answer_head",
+  [EEL_TRAFFIC_ANSWER_BODY] = "answer_body",
+};
+
+void
+eel_domain_traffic_init (struct eel_domain_traffic *traffic,
+                         struct eel_metrics *metrics)
+{
+  memset (traffic, 0, sizeof *traffic);
+  traffic->metrics = metrics;
+  traffic->news_bytes = eel_metrics_get (
+      metrics, EEL_METRIC_COUNTER, "eel_domain_other_bytes_total",
+      "kind=\"news\"", "Bytes between domains that belong to no request.");
+  traffic->reading_bytes = eel_metrics_get (
+      metrics, EEL_METRIC_COUNTER, "eel_domain_other_bytes_total",
+      "kind=\"reading\"", "Bytes between domains that belong to no request.");
+}
+
+static void
+row_init (struct eel_domain_traffic *traffic,
+          struct eel_traffic_row *row,
+          const char *service)
+{
+  char labels[EEL_METRIC_LABELS_MAX];
+
+  g_strlcpy (row->service, service, sizeof row->service);
+  for (uint32_t i = 0; i < EEL_LEAVE_CAUSE_COUNT; i++)
+    {
+      snprintf (labels, sizeof labels, "service=\"%.63s\",cause=\"%s\"",
+                service, cause_names[i]);
+      row->requests[i] = eel_metrics_get (traffic->metrics, EEL_METRIC_COUNTER,
+                                          "eel_domain_requests_total", labels,
+                                          "Requests sent to other domains.");
+    }
+  for (uint32_t i = 0; i < EEL_TRAFFIC_PART_COUNT; i++)
+    {
+      snprintf (labels, sizeof labels, "service=\"%.63s\",part=\"%s\"", service,
+                part_names[i]);
+      row->bytes[i] = eel_metrics_get (
+          traffic->metrics, EEL_METRIC_COUNTER, "eel_domain_bytes_total",
+          labels, "Bytes of requests sent to other domains, both ways.");
+    }
+  snprintf (labels, sizeof labels, "service=\"%.63s\"", service);
+  row->home_in_time = eel_metrics_get (
+      traffic->metrics, EEL_METRIC_COUNTER, "eel_domain_home_in_time_total",
+      labels, "Requests sent to other domains that home could serve in time.");
+}
+
+/* Returns the row of a service; one for all others once the table is full. */
+static struct eel_traffic_row *
+row_of (struct eel_domain_traffic *traffic, const char *service)
+{
+  struct eel_traffic_row *row;
+
+  for (uint32_t i = 0; i < traffic->count; i++)
+    if (strcmp (traffic->rows[i].service, service) == 0)
+      return &traffic->rows[i];
+  if (traffic->count > EEL_TRAFFIC_SERVICES_MAX)
+    return &traffic->rows[EEL_TRAFFIC_SERVICES_MAX];
+  if (traffic->count == EEL_TRAFFIC_SERVICES_MAX)
+    {
+      g_message ("event=domain_traffic_full services=%u",
+                 EEL_TRAFFIC_SERVICES_MAX);
+      service = OTHERS;
+    }
+  row = &traffic->rows[traffic->count++];
+  row_init (traffic, row, service);
+  return row;
+}
+
+void
+eel_domain_traffic_request (struct eel_domain_traffic *traffic,
+                            const char *service,
+                            enum eel_leave_cause cause,
+                            int home_in_time)
+{
+  struct eel_traffic_row *row = row_of (traffic, service);
+
+  eel_metric_add (row->requests[cause], 1);
+  if (home_in_time)
+    eel_metric_add (row->home_in_time, 1);
+}
+
+void
+eel_domain_traffic_bytes (struct eel_domain_traffic *traffic,
+                          const char *service,
+                          enum eel_traffic_part part,
+                          uint64_t bytes)
+{
+  eel_metric_add (row_of (traffic, service)->bytes[part], bytes);
+}
+
+static uint64_t
+value_of (const struct eel_metric *metric)
+{
+  return metric != NULL ? metric->value : 0;
+}
+
+/* Names the counts since the start, without those that are 0. */
+static void
+log_row (struct eel_traffic_row *row)
+{
+  GString *text = g_string_new (NULL);
+  uint64_t sum = 0;
+
+  for (uint32_t i = 0; i < EEL_LEAVE_CAUSE_COUNT; i++)
+    {
+      uint64_t value = value_of (row->requests[i]);
+
+      sum += value;
+      if (value > 0)
+        g_string_append_printf (text, " %s=%" PRIu64, cause_names[i], value);
+    }
+  for (uint32_t i = 0; i < EEL_TRAFFIC_PART_COUNT; i++)
+    g_string_append_printf (text, " %s=%" PRIu64, part_names[i],
+                            value_of (row->bytes[i]));
+  if (sum != row->logged)
+    g_message ("event=domain_traffic service=%s requests=%" PRIu64
+               " home_in_time=%" PRIu64 "%s",
+               row->service, sum, value_of (row->home_in_time), text->str);
+  row->logged = sum;
+  g_string_free (text, TRUE);
+}
+
+void
+eel_domain_traffic_tick (struct eel_domain_traffic *traffic, int64_t now_us)
+{
+  uint64_t news = value_of (traffic->news_bytes);
+  uint64_t reading = value_of (traffic->reading_bytes);
+
+  if (now_us < traffic->logged_us + LINE_INTERVAL_US)
+    return;
+  traffic->logged_us = now_us;
+  for (uint32_t i = 0; i < traffic->count; i++)
+    log_row (&traffic->rows[i]);
+  if (news + reading > 0)
+    g_message ("event=domain_other_bytes news=%" PRIu64 " reading=%" PRIu64,
+               news, reading);
+}
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -386,6 +386,7 @@
       eel_entry_answer_error (entry, if_none);
       return;
     }
+  eel_entry_count_leaving (entry, instance);
   entry->tried[entry->tried_count++] = instance->id;
   entry->instance = instance;
   entry->call.instance_id = instance->id;
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -63,6 +63,10 @@
 /* Offers the request to the next endpoint; answers with if_none when none is
    left.  May free the entry. */
 void eel_entry_next (struct eel_entry *entry, enum eel_error if_none);
+/* Counts, by cause, a request that goes to an endpoint of another failure
+   domain; call it before that endpoint counts as tried. */
+void eel_entry_count_leaving (struct eel_entry *entry,
+                              const struct eel_instance *instance);
 /* Answers with an error of this node; frees the entry. */
 void eel_entry_answer_error (struct eel_entry *entry, enum eel_error error);
 /*
--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -223,6 +223,7 @@
   if (consumed < 0)
     return discards_too_much (link) ? "too much that is no answer"
                                     : "answer is not HTTP";
+  link->read_bytes += (uint64_t)consumed;
   evbuffer_drain (input, (size_t)consumed);
   return NULL;
 }
@@ -316,6 +317,17 @@
                                      : "connect failed");
 }
 
+static void
+on_written (struct evbuffer *output,
+            const struct evbuffer_cb_info *info,
+            void *data)
+{
+  struct eel_link *link = data;
+
+  (void)output;
+  link->written_bytes += info->n_added;
+}
+
 /* Starts to connect; returns NULL when that fails at once. */
 struct eel_link *
 eel_link_open (struct eel_pool *pool)
@@ -340,6 +352,7 @@
   bufferevent_setwatermark (link->bev, EV_READ, 0, READ_BYTES_MAX);
   bufferevent_set_timeouts (link->bev, NULL, &limit);
   bufferevent_enable (link->bev, EV_READ | EV_WRITE);
+  evbuffer_add_cb (bufferevent_get_output (link->bev), on_written, link);
   if (bufferevent_socket_connect (link->bev, (struct sockaddr *)&pool->address,
                                   sizeof pool->address)
       != 0)
--- a/src/relay/link_output.c
+++ b/src/relay/link_output.c
@@ -20,6 +20,8 @@
   link->discarded_bytes = 0;
   link->discard = 0;
   link->body_bytes = 0;
+  link->written_bytes = 0;
+  link->read_bytes = 0;
   link->watch = (struct eel_socket_watch){ 0 };
   if (link->may_stall)
     eel_socket_set_user_timeout (bufferevent_getfd (link->bev),
--- a/src/relay/pool.h
+++ b/src/relay/pool.h
@@ -80,6 +80,9 @@
   int64_t reused_idle_us;
   /* Bytes of the request's body that were passed to the link. */
   uint64_t body_bytes;
+  /* All bytes that were written and read for it. */
+  uint64_t written_bytes;
+  uint64_t read_bytes;
   /* The peer may read the body as slowly as it likes. */
   uint8_t may_stall;
   struct eel_socket_watch watch;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -16,6 +16,7 @@
 #include "eelgrasslatch/team_table.h"
 #include "eelgrasslatch/team_use.h"
 #include "internal/metrics.h"
+#include "relay/domain_traffic.h"
 #include "relay/pool.h"
 #include "relay/reach.h"
 #include "relay/service_retries.h"
@@ -204,6 +205,7 @@
   int64_t spared_reviewed_us;
   uint64_t load_logged_started;
   struct eel_relay_counters counters;
+  struct eel_domain_traffic domain_traffic;
 };
 
 int eel_relay_init (struct eel_relay *relay,
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -322,6 +322,52 @@
   return best;
 }
 
+/* Returns what keeps an endpoint of the own domain from being preferred. */
+static enum eel_leave_cause
+obstacle (const struct eel_instance *instance,
+          const struct service_view *view,
+          int64_t now_us)
+{
+  if (now_us < instance->avoid_until_us || has_pending_trial (instance))
+    return EEL_LEAVE_AVOIDED;
+  if (excess_fault (instance, view, now_us) >= FAULT_SPILL_MILLI)
+    return EEL_LEAVE_FAULTS;
+  if (is_slow (instance, view, now_us))
+    return EEL_LEAVE_SLOW;
+  return instance->shed_rate >= SHED_RATE_SPILL ? EEL_LEAVE_SHED
+                                                : EEL_LEAVE_USE;
+}
+
+void
+eel_place_describe (const struct eel_directory *directory,
+                    const struct eel_place_query *query,
+                    int64_t now_us,
+                    void (*each) (void *data,
+                                  const struct eel_place_seen *seen),
+                    void *data)
+{
+  struct service_view view;
+
+  view_service (directory, query->service, now_us, &view);
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      const struct eel_instance *instance = &directory->instances[i];
+      struct eel_place_seen seen = { .instance = instance };
+
+      if (instance->service != query->service
+          || !eel_instance_usable (instance))
+        continue;
+      seen.tried = (uint8_t)was_tried (query, instance->id);
+      seen.obstacle = obstacle (instance, &view, now_us);
+      seen.use_milli = expected_use (instance, &view, now_us);
+      seen.is_fresh = (uint8_t)has_report (instance, USE_LIFE_US, now_us);
+      seen.age_us = now_us - instance->reported_us;
+      seen.hold_us = instance->report.hold_us > 0 ? instance->report.hold_us
+                                                  : view.least_hold_us;
+      each (data, &seen);
+    }
+}
+
 void
 eel_place_sent (struct eel_instance *instance)
 {
