Number the failure domains of endpoints

An endpoint was known as of the own domain or not, which is too little to choose between several others. The adapter gives each domain a small number, 0 for the own one; those beyond 16 share one.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -20,6 +20,11 @@
    end, which is noticed a little later. */
 #define EEL_LAPSED_GRACE_US (1800 * EEL_US_PER_MS)
 
+/* Failure domains that have a number; 0 is that of this node. */
+#define EEL_DOMAINS_MAX 16
+#define EEL_HOME_DOMAIN 0
+#define EEL_ANY_DOMAIN UINT8_MAX
+
 /* Time of an outage when none is known. */
 #define EEL_NO_OUTAGE_US (INT64_MIN / 4)
 
@@ -75,6 +80,9 @@
   uint16_t port;
   uint32_t slots;
   uint8_t same_domain;
+  /* Number of the failure domain, 0: that of this node; EEL_ANY_DOMAIN: beyond
+     those that have one. */
+  uint8_t domain;
   /* The endpoint itself has said that it leaves. */
   uint8_t leaving;
   /* When it started, by its own clock; 0: unknown.  Tells two starts under one
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -120,6 +120,7 @@
   known->port = instance->port;
   known->slots = instance->slots;
   known->same_domain = instance->same_domain;
+  known->domain = instance->domain;
   known->cold_until_us = instance->cold_until_us;
   known->registered_us = now_us;
   return 1;
--- a/tests/unit/adapter_fixture.h
+++ b/tests/unit/adapter_fixture.h
@@ -25,6 +25,8 @@
   ~adapter_test ()
   {
     eel_service_names_finish (&platform.relay.names);
+    for (auto *name : platform.domains)
+      g_free (name);
   }
 
   // Number of routes, or -1 when the configuration is rejected.
--- a/tests/unit/test_platform_adapter.cc
+++ b/tests/unit/test_platform_adapter.cc
@@ -312,3 +312,17 @@
     }
   unlink (file);
 }
+
+// Failure domains get small numbers, the own one 0; those beyond the table
+// share one that is never chosen by name.
+TEST_F (adapter_test, DomainsAreNumbered)
+{
+  EXPECT_EQ (platform_domain_number (&platform, "z2"), 1);
+  EXPECT_EQ (platform_domain_number (&platform, "z1"), EEL_HOME_DOMAIN);
+  EXPECT_EQ (platform_domain_number (&platform, "z2"), 1);
+  for (int i = 3; i < 30; i++)
+    platform_domain_number (&platform, ("z" + std::to_string (i)).c_str ());
+  EXPECT_EQ (platform.domain_count, (uint32_t)EEL_DOMAINS_MAX);
+  EXPECT_EQ (platform_domain_number (&platform, "z29"), EEL_ANY_DOMAIN);
+  EXPECT_EQ (platform_domain_number (&platform, "z2"), 1);
+}
