Let the gate queue guests for less time

A domain that fills has to keep its slots for its own requests. A request that another domain sends here for want of room gets a free slot, or waits for at most 0.45 of its slack to the target where the domain's own may wait for 0.6. Nothing offers guests yet.

--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -64,6 +64,11 @@
 enum eel_gate_verdict eel_gate_offer (struct eel_gate *gate,
                                       const struct eel_gate_item *item,
                                       int64_t now_us);
+/* The same for a request from another failure domain that has endpoints of the
+   service too: it must meet its target, and waits for less time. */
+enum eel_gate_verdict eel_gate_offer_guest (struct eel_gate *gate,
+                                            const struct eel_gate_item *item,
+                                            int64_t now_us);
 /*
  * Dequeues the next item.  Returns EEL_GATE_START for one that starts now,
  * EEL_GATE_REFUSE for one that can no longer be served before its deadline, and
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -14,6 +14,10 @@
 /* Share of a request's slack, up to its target or deadline, that its expected
  * wait may take. */
 #define WAIT_PERCENT 60
+/* The same for a guest: a queue that fills is left to the domain's own
+ * requests.
+ */
+#define GUEST_WAIT_PERCENT 45
 
 void
 eel_gate_init (struct eel_gate *gate, uint32_t slots)
@@ -113,12 +117,14 @@
 static int64_t
 allowed_wait_us (const struct eel_gate *gate,
                  const struct eel_gate_item *item,
+                 int is_guest,
                  int64_t now_us)
 {
-  int64_t limit_us
-      = item->rank < gate->last_rank ? item->deadline_us : item->target_us;
+  int must_be_in_time = is_guest || item->rank >= gate->last_rank;
+  int64_t limit_us = must_be_in_time ? item->target_us : item->deadline_us;
 
-  return (limit_us - now_us - (int64_t)gate->hold_us) * WAIT_PERCENT / 100;
+  return (limit_us - now_us - (int64_t)gate->hold_us)
+         * (is_guest ? GUEST_WAIT_PERCENT : WAIT_PERCENT) / 100;
 }
 
 static uint32_t
@@ -134,10 +140,11 @@
 }
 
 /* Starts, queues or refuses an arriving request; a queued item is copied. */
-enum eel_gate_verdict
-eel_gate_offer (struct eel_gate *gate,
-                const struct eel_gate_item *item,
-                int64_t now_us)
+static enum eel_gate_verdict
+offer (struct eel_gate *gate,
+       const struct eel_gate_item *item,
+       int is_guest,
+       int64_t now_us)
 {
   update_use (gate, now_us);
   if (gate->running < gate->limit && gate->queued == 0
@@ -149,7 +156,7 @@
     }
   if (gate->queued == EEL_GATE_QUEUE_MAX
       || expected_wait_us (gate, count_ahead (gate, item, now_us), now_us)
-             > allowed_wait_us (gate, item, now_us))
+             > allowed_wait_us (gate, item, is_guest, now_us))
     {
       gate->refused++;
       return EEL_GATE_REFUSE;
@@ -158,6 +165,22 @@
   return EEL_GATE_QUEUE;
 }
 
+enum eel_gate_verdict
+eel_gate_offer (struct eel_gate *gate,
+                const struct eel_gate_item *item,
+                int64_t now_us)
+{
+  return offer (gate, item, 0, now_us);
+}
+
+enum eel_gate_verdict
+eel_gate_offer_guest (struct eel_gate *gate,
+                      const struct eel_gate_item *item,
+                      int64_t now_us)
+{
+  return offer (gate, item, 1, now_us);
+}
+
 static void
 remove_item (struct eel_gate *gate, uint32_t index, struct eel_gate_item *item)
 {
--- a/tests/unit/test_gate.cc
+++ b/tests/unit/test_gate.cc
@@ -90,3 +90,27 @@
   EXPECT_EQ (eel_gate_withdraw (&gate, second.owner), 1);
   EXPECT_EQ (gate.queued, 0u);
 }
+
+// A guest starts like any other while slots are free.  It waits for less time,
+// and whatever its rank only for as long as it can be in time.
+TEST (Gate, GuestsWaitForLess)
+{
+  struct eel_gate gate;
+  struct eel_gate_item each = item (0, 1000, 9000, 1);
+  uint32_t guests = 0;
+  uint32_t own = 0;
+
+  eel_gate_init (&gate, 2);
+  gate.last_rank = 2;
+  gate.hold_us = 40 * EEL_US_PER_MS;
+  ASSERT_EQ (eel_gate_offer_guest (&gate, &each, 0), EEL_GATE_START);
+  while (eel_gate_offer_guest (&gate, &each, 0) == EEL_GATE_QUEUE)
+    guests++;
+  EXPECT_GT (guests, 0U);
+  EXPECT_LE (guests * 40, 1000U);
+  each.rank = 2;
+  while (eel_gate_offer (&gate, &each, 0) == EEL_GATE_QUEUE)
+    own++;
+  EXPECT_GT (own, 0U);
+  EXPECT_EQ (gate.refused, 2U);
+}
