Decide what leaves the failure domain by what home can serve

The domain flow keeps them at home while it can serve them in time; two refusals of nodes at home, or a wait beyond 0.7 of what is left to the target, let them go to domains with measured room, as guests.

--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -57,6 +57,12 @@
                                      const struct eel_place_query *query,
                                      int64_t now_us,
                                      struct eel_rng *rng);
+/* The same among the endpoints of one domain, or EEL_ANY_DOMAIN. */
+struct eel_instance *eel_place_pick_in (struct eel_directory *directory,
+                                        const struct eel_place_query *query,
+                                        uint8_t domain,
+                                        int64_t now_us,
+                                        struct eel_rng *rng);
 /* Returns the same endpoint at all senders that know the same ones, or NULL. */
 struct eel_instance *eel_place_pick_for (struct eel_directory *directory,
                                          const struct eel_place_query *query,
--- /dev/null
+++ b/src/routing/domain_flow.c
@@ -0,0 +1,318 @@
+#include "eelgrasslatch/domain_flow.h"
+
+#include <string.h>
+
+#include "routing/flow.h"
+
+/* Age at which a report of an endpoint counts no more; it counts for less the
+   older it is, the mean of its domain for more. */
+#define REPORT_LIFE_US (1500 * EEL_US_PER_MS)
+/* Expected wait, as a share of the time left to the target beside the run: up
+   to the first a request is in time, from the second on its endpoint's node
+   refuses it or it is late. */
+#define IN_TIME_SHARE 0.7
+#define LATE_SHARE 1.0
+/* A domain without fresh reports gets a request of a service so often, as long
+   as some don't fit at home. */
+#define PROBE_INTERVAL_US (500 * EEL_US_PER_MS)
+/* Exchanges over the way before the answer: head and acceptance, body and
+   answer. */
+#define WAY_EXCHANGES 2
+/* Refusals at home after which home counts as full, whatever the reports say:
+   one may come from senders that all followed the same report. */
+#define HOME_REFUSALS 2
+/* Endpoints of other domains that a request is offered to once home has refused
+   it. */
+#define TRIED_ABROAD_MAX 3
+/* Use above which an endpoint has no room for requests of other domains. */
+#define FULL_MILLI 950
+
+/* What the reports tell of the sound endpoints of a service in one domain. */
+struct domain_view
+{
+  uint32_t endpoints;
+  /* Sound endpoints that were not tried. */
+  uint32_t sound;
+  uint32_t fresh;
+  double use_milli_sum;
+  double hold_us_sum;
+  /* Free slots that fresh reports tell of. */
+  double room_slots;
+  /* Of the endpoint with the least expected time to an answer: its wait, the
+     time that a request holds a slot, the age of its report.  Wait below 0:
+     there is none. */
+  double wait_us;
+  double hold_us;
+  int64_t age_us;
+};
+
+struct service_view
+{
+  struct domain_view domains[EEL_DOMAINS_MAX];
+  /* Set in the second pass, once the means are known. */
+  uint8_t has_means;
+  /* Endpoints of other domains that were tried. */
+  uint32_t tried_abroad;
+};
+
+static double
+mean_of (double sum, uint32_t count)
+{
+  return count > 0 ? sum / count : 0;
+}
+
+/* Adds the endpoint's expected time to an answer.  A report that ages tells
+   less than the mean of its domain. */
+static void
+add_finish (struct domain_view *domain, const struct eel_place_seen *seen)
+{
+  double mean = mean_of (domain->use_milli_sum, domain->fresh);
+  double age = seen->is_fresh ? (double)seen->age_us / REPORT_LIFE_US : 1;
+  double use = domain->fresh > 0 ? mean : seen->use_milli;
+  double hold_us = seen->hold_us > 0
+                       ? (double)seen->hold_us
+                       : mean_of (domain->hold_us_sum, domain->fresh);
+  double wait_us;
+
+  if (age < 1)
+    use = seen->use_milli + age * (mean - seen->use_milli);
+  wait_us = use > 1000 ? hold_us * (use - 1000) / 1000 : 0;
+  if (seen->is_fresh && use < FULL_MILLI)
+    domain->room_slots += seen->instance->slots * (FULL_MILLI - use) / 1000;
+  if (domain->wait_us < 0
+      || wait_us + hold_us < domain->wait_us + domain->hold_us)
+    {
+      domain->wait_us = wait_us;
+      domain->hold_us = hold_us;
+      domain->age_us = seen->is_fresh ? seen->age_us : 0;
+    }
+}
+
+static void
+add_seen (void *data, const struct eel_place_seen *seen)
+{
+  struct service_view *view = data;
+  struct domain_view *domain;
+
+  if (seen->instance->domain >= EEL_DOMAINS_MAX)
+    return;
+  domain = &view->domains[seen->instance->domain];
+  if (seen->tried && seen->instance->domain != EEL_HOME_DOMAIN)
+    view->tried_abroad++;
+  if (seen->tried || seen->obstacle != EEL_LEAVE_USE)
+    return;
+  if (view->has_means)
+    {
+      add_finish (domain, seen);
+      return;
+    }
+  domain->sound++;
+  if (seen->is_fresh)
+    {
+      domain->fresh++;
+      domain->use_milli_sum += seen->use_milli;
+      domain->hold_us_sum += (double)seen->hold_us;
+    }
+}
+
+static void
+view_service (const struct eel_directory *directory,
+              const struct eel_place_query *query,
+              int64_t now_us,
+              struct service_view *view)
+{
+  memset (view, 0, sizeof *view);
+  for (uint32_t i = 0; i < EEL_DOMAINS_MAX; i++)
+    view->domains[i].wait_us = -1;
+  eel_place_describe (directory, query, now_us, add_seen, view);
+  view->has_means = 1;
+  eel_place_describe (directory, query, now_us, add_seen, view);
+}
+
+/* Returns the expected share of requests in time, of those that wait so long
+   and then hold a slot. */
+static double
+in_time_share (double wait_us, double hold_us, int64_t left_us)
+{
+  double slack_us = (double)left_us - hold_us;
+  double part = slack_us > 0 ? wait_us / slack_us : LATE_SHARE;
+
+  if (part <= IN_TIME_SHARE)
+    return 1;
+  return part >= LATE_SHARE
+             ? 0
+             : (LATE_SHARE - part) / (LATE_SHARE - IN_TIME_SHARE);
+}
+
+/* Returns the time that runs in the domain wait for what they call. */
+static double
+calls_us (struct eel_domain_flow *flow,
+          const struct eel_flow_request *request,
+          uint8_t domain,
+          int64_t now_us)
+{
+  return eel_flow_pressure_milli (flow, request->route, domain, now_us)
+         * (double)request->route_target_us / 1000;
+}
+
+/* Picks one of the domains with room, in proportion to it; sets wait_us to
+   what a request loses on
+   the way and there.  Returns EEL_HOME_DOMAIN when none has any. */
+static uint8_t
+pick_room (struct eel_domain_flow *flow,
+           const struct eel_flow_service *row,
+           const struct service_view *view,
+           const struct eel_flow_request *request,
+           int64_t now_us,
+           struct eel_rng *rng,
+           double *wait_us)
+{
+  uint8_t found = EEL_HOME_DOMAIN;
+  double sum = 0;
+
+  for (uint8_t i = EEL_HOME_DOMAIN + 1; i < EEL_DOMAINS_MAX; i++)
+    {
+      const struct domain_view *domain = &view->domains[i];
+
+      if (now_us < row->full_until_us[i] && request->refusals < HOME_REFUSALS)
+        continue;
+      sum += domain->room_slots;
+      if (domain->room_slots > 0
+          && eel_rng_unit (rng) * sum < domain->room_slots)
+        found = i;
+    }
+  if (found != EEL_HOME_DOMAIN)
+    *wait_us = view->domains[found].wait_us
+               + WAY_EXCHANGES * flow->way_us[found]
+               + calls_us (flow, request, found, now_us);
+  return found;
+}
+
+/* Returns a domain with sound endpoints, or EEL_HOME_DOMAIN; with unknown_only,
+   one without a fresh report that has refused nothing a moment ago. */
+static uint8_t
+pick_untold (struct eel_flow_service *row,
+             const struct service_view *view,
+             int unknown_only,
+             int64_t now_us,
+             struct eel_rng *rng)
+{
+  uint8_t found = EEL_HOME_DOMAIN;
+  uint32_t count = 0;
+
+  for (uint8_t i = EEL_HOME_DOMAIN + 1; i < EEL_DOMAINS_MAX; i++)
+    if (view->domains[i].sound > 0
+        && (!unknown_only
+            || (view->domains[i].fresh == 0 && now_us >= row->full_until_us[i]))
+        && eel_rng_below (rng, ++count) == 0)
+      found = i;
+  if (found != EEL_HOME_DOMAIN)
+    row->probed_us = now_us;
+  return found;
+}
+
+static double
+way_cost (struct eel_domain_flow *flow, const struct eel_flow_request *request)
+{
+  return flow->config.kilobyte_cost * eel_flow_bytes (flow, request->route)
+         / 1024;
+}
+
+/* Home has refused the request and has no other endpoint for it. */
+static uint8_t
+choose_abroad (struct eel_domain_flow *flow,
+               struct eel_flow_service *row,
+               const struct service_view *view,
+               const struct eel_flow_request *request,
+               int64_t now_us,
+               struct eel_rng *rng)
+{
+  double wait_us = 0;
+  uint8_t domain;
+
+  if (view->tried_abroad >= TRIED_ABROAD_MAX || way_cost (flow, request) >= 1)
+    return EEL_NO_DOMAIN;
+  domain = pick_room (flow, row, view, request, now_us, rng, &wait_us);
+  if (domain == EEL_HOME_DOMAIN)
+    domain = pick_untold (row, view, 0, now_us, rng);
+  return domain == EEL_HOME_DOMAIN ? EEL_NO_DOMAIN : domain;
+}
+
+static uint8_t
+choose (struct eel_domain_flow *flow,
+        struct eel_flow_service *row,
+        const struct service_view *view,
+        const struct eel_flow_request *request,
+        int64_t now_us,
+        struct eel_rng *rng)
+{
+  const struct domain_view *home = &view->domains[EEL_HOME_DOMAIN];
+  int64_t left_us = request->target_us - now_us;
+  int is_refused = request->refusals >= HOME_REFUSALS;
+  double cost = way_cost (flow, request);
+  double home_us = eel_flow_smooth_home (row, home->wait_us, now_us)
+                   + calls_us (flow, request, EEL_HOME_DOMAIN, now_us);
+  double at_home
+      = is_refused ? 0 : in_time_share (home_us, home->hold_us, left_us);
+  double wait_us = 0;
+  uint8_t domain;
+
+  if (at_home >= 1 || (view->tried_abroad > 0 && !is_refused))
+    return EEL_HOME_DOMAIN;
+  domain = pick_room (flow, row, view, request, now_us, rng, &wait_us);
+  if (domain == EEL_HOME_DOMAIN)
+    return now_us - row->probed_us < PROBE_INTERVAL_US
+               ? EEL_HOME_DOMAIN
+               : pick_untold (row, view, 1, now_us, rng);
+  /* The part that leaves grows with what leaving brings. */
+  if (eel_rng_unit (rng)
+      >= in_time_share (wait_us, view->domains[domain].hold_us, left_us)
+             - at_home - cost)
+    return EEL_HOME_DOMAIN;
+  if (view->domains[domain].age_us > row->age_us)
+    row->age_us = view->domains[domain].age_us;
+  return domain;
+}
+
+uint8_t
+eel_domain_flow_choose (struct eel_domain_flow *flow,
+                        const struct eel_directory *directory,
+                        const struct eel_place_query *query,
+                        const struct eel_flow_request *request,
+                        int64_t now_us,
+                        struct eel_rng *rng)
+{
+  struct eel_flow_service *row;
+  struct service_view view;
+  uint8_t domain;
+
+  view_service (directory, query, now_us, &view);
+  if (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0)
+    return EEL_ANY_DOMAIN;
+  row = eel_flow_service (flow, query->service);
+  if (view.domains[EEL_HOME_DOMAIN].sound == 0)
+    domain = choose_abroad (flow, row, &view, request, now_us, rng);
+  else
+    domain = choose (flow, row, &view, request, now_us, rng);
+  row->requests++;
+  row->left += domain != EEL_HOME_DOMAIN && domain != EEL_NO_DOMAIN;
+  return domain;
+}
+
+struct eel_instance *
+eel_domain_flow_pick (struct eel_domain_flow *flow,
+                      struct eel_directory *directory,
+                      const struct eel_place_query *query,
+                      const struct eel_flow_request *request,
+                      int64_t now_us,
+                      struct eel_rng *rng,
+                      uint8_t *is_guest)
+{
+  uint8_t domain
+      = eel_domain_flow_choose (flow, directory, query, request, now_us, rng);
+
+  *is_guest = domain != EEL_HOME_DOMAIN && domain < EEL_DOMAINS_MAX;
+  return domain == EEL_NO_DOMAIN
+             ? NULL
+             : eel_place_pick_in (directory, query, domain, now_us, rng);
+}
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -262,10 +262,11 @@
 
 /* Returns the usable endpoint of lowest cost that was not tried. */
 struct eel_instance *
-eel_place_pick (struct eel_directory *directory,
-                const struct eel_place_query *query,
-                int64_t now_us,
-                struct eel_rng *rng)
+eel_place_pick_in (struct eel_directory *directory,
+                   const struct eel_place_query *query,
+                   uint8_t domain,
+                   int64_t now_us,
+                   struct eel_rng *rng)
 {
   struct eel_instance *best = NULL;
   uint64_t best_cost = UINT64_MAX;
@@ -278,7 +279,8 @@
       uint64_t instance_cost;
 
       if (instance->service != query->service || !eel_instance_usable (instance)
-          || has_pending_trial (instance) || was_tried (query, instance->id))
+          || has_pending_trial (instance) || was_tried (query, instance->id)
+          || (domain != EEL_ANY_DOMAIN && instance->domain != domain))
         continue;
       instance_cost = cost (instance, &view, now_us, rng);
       if (instance_cost < best_cost)
@@ -290,6 +292,15 @@
   return best;
 }
 
+struct eel_instance *
+eel_place_pick (struct eel_directory *directory,
+                const struct eel_place_query *query,
+                int64_t now_us,
+                struct eel_rng *rng)
+{
+  return eel_place_pick_in (directory, query, EEL_ANY_DOMAIN, now_us, rng);
+}
+
 /* Highest random weight; endpoints that failed a moment ago come last. */
 struct eel_instance *
 eel_place_pick_for (struct eel_directory *directory,
