--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -76,6 +76,8 @@
   const char *team;
   /* eel_team_id of the name, or EEL_NO_TEAM. */
   uint64_t team_id;
+  /* From another failure domain, which could also serve it. */
+  uint8_t is_guest;
   int64_t target_us;
   int64_t deadline_us;
 };
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -295,6 +295,7 @@
                                       .owner = attempt };
   const char *refusal = eel_attempt_direct (attempt);
   enum eel_attempt_failure failure;
+  enum eel_gate_verdict verdict;
 
   if (refusal != NULL)
     {
@@ -309,7 +310,11 @@
       return;
     }
   eel_self_report_expect (attempt->relay, call->instance_id);
-  switch (eel_gate_offer (&attempt->relay->gate, &item, attempt->started_us))
+  verdict = call->is_guest ? eel_gate_offer_guest (&attempt->relay->gate, &item,
+                                                   attempt->started_us)
+                           : eel_gate_offer (&attempt->relay->gate, &item,
+                                             attempt->started_us);
+  switch (verdict)
     {
     case EEL_GATE_START:
       eel_attempt_admitted (attempt);
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -45,6 +45,9 @@
   uint64_t request_body = link->body_bytes;
   uint64_t answer_body = attempt->answer_body_bytes;
 
+  if (attempt->answer_started && !attempt->is_refusal)
+    eel_domain_flow_count_bytes (&relay->domain_flow, attempt->call.route,
+                                 link->written_bytes + link->read_bytes);
   if (attempt->instance->same_domain)
     return;
   eel_domain_traffic_bytes (&relay->domain_traffic, service,
@@ -120,6 +123,9 @@
   eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
+  eel_domain_flow_report_pressure (
+      &attempt->relay->domain_flow, attempt->call.route,
+      attempt->instance->domain, load.callee_pressure_milli, eel_clock_us ());
 }
 
 /* The node has accepted the request: sends the body, which starts the run. */
@@ -132,6 +138,9 @@
     return;
   event_del (attempt->accept_timer);
   attempt->accepted_us = eel_clock_us ();
+  eel_domain_flow_report_way (&attempt->relay->domain_flow,
+                              attempt->instance->domain,
+                              attempt->accepted_us - attempt->started_us);
   eel_place_accepted (attempt->instance);
   eel_attempt_send_pending (attempt);
 }
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -344,10 +344,19 @@
   struct eel_relay *relay = entry->relay;
   uint64_t fingerprint = entry->call.fingerprint;
   int64_t now_us = eel_clock_us ();
+  const struct eel_flow_request request
+      = { .route = entry->call.route,
+          .route_target_us = entry->call.route_target_us,
+          .target_us = entry->call.target_us,
+          .refusals = entry->refusals_at_home };
 
   if (fingerprint != 0
       && eel_quarantine_find (&relay->quarantine, fingerprint, now_us) != NULL)
     return eel_place_pick_for (&relay->directory, query, fingerprint, now_us);
+  if (relay->config.domain_flow.enabled)
+    return eel_domain_flow_pick (&relay->domain_flow, &relay->directory, query,
+                                 &request, now_us, &relay->rng,
+                                 &entry->call.is_guest);
   return eel_place_pick (&relay->directory, query, now_us, &relay->rng);
 }
 
@@ -365,6 +374,7 @@
 
   if (entry->replay == NULL || entry->tried_count == EEL_ENTRY_TRIES_MAX)
     return NULL;
+  entry->call.is_guest = 0;
   if (entry->arrivals < entry->attempts_max)
     instance = pick_instance (entry, &query);
   /* An endpoint that sheds a share of all requests may accept this one when it
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -31,6 +31,8 @@
   uint8_t arrivals;
   /* The node beside an endpoint had no slot for it in time. */
   uint8_t was_refused;
+  /* Such nodes in the own failure domain. */
+  uint8_t refusals_at_home;
   /* An endpoint may have run it: no answer may state that none has. */
   uint8_t may_have_run;
   /* The present endpoint, and the last one that shed the request. */
@@ -67,6 +69,8 @@
    domain; call it before that endpoint counts as tried. */
 void eel_entry_count_leaving (struct eel_entry *entry,
                               const struct eel_instance *instance);
+/* Records that the present endpoint's node had no slot in time. */
+void eel_entry_refused (struct eel_entry *entry);
 /* Answers with an error of this node; frees the entry. */
 void eel_entry_answer_error (struct eel_entry *entry, enum eel_error error);
 /*
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -329,7 +329,7 @@
                                       SHED_PRESSURE_MILLI, eel_clock_us ());
     }
   if (failure == EEL_FAILURE_REFUSED)
-    entry->was_refused = 1;
+    eel_entry_refused (entry);
   if (failure == EEL_FAILURE_BROKEN)
     entry->may_have_run = 1;
   if (failure != EEL_FAILURE_SHED && failure != EEL_FAILURE_BROKEN
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -1,9 +1,15 @@
+#include <glib.h>
+#include <inttypes.h>
+
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/entry.h"
 
 /* Requests that leave the failure domain. */
 
+/* Lines of one second; changes beyond these get none. */
+#define FLOW_LINES_MAX 8
+
 void
 eel_entry_count_leaving (struct eel_entry *entry,
                          const struct eel_instance *instance)
@@ -24,3 +30,37 @@
       eel_service_name (&relay->names, entry->call.service), cause,
       home_us > 0 && now_us + home_us <= entry->call.target_us);
 }
+
+void
+eel_entry_refused (struct eel_entry *entry)
+{
+  const struct eel_instance *instance = entry->instance;
+
+  entry->was_refused = 1;
+  if (instance->same_domain)
+    entry->refusals_at_home++;
+  else
+    eel_domain_flow_refused (&entry->relay->domain_flow, entry->call.service,
+                             instance->domain, eel_clock_us ());
+}
+
+void
+eel_relay_log_flow (struct eel_relay *relay, int64_t now_us)
+{
+  struct eel_flow_change changes[FLOW_LINES_MAX];
+  uint32_t count = eel_domain_flow_tick (&relay->domain_flow, now_us, changes,
+                                         FLOW_LINES_MAX);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct eel_flow_change *change = &changes[i];
+
+      g_message ("event=%s service=%s left_milli=%u left=%" PRIu64
+                 " home_wait_ms=%" PRId64 " report_age_ms=%" PRId64,
+                 change->is_leaving ? "domain_left" : "domain_kept",
+                 eel_service_name (&relay->names, change->service),
+                 change->left_milli, change->left_sum,
+                 change->home_us / EEL_US_PER_MS,
+                 change->age_us / EEL_US_PER_MS);
+    }
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -117,6 +117,7 @@
                   eel_run_times_speed_milli (&relay->run_times, now_us));
   eel_relay_review_spared (relay, now_us);
   eel_domain_traffic_tick (&relay->domain_traffic, now_us);
+  eel_relay_log_flow (relay, now_us);
   log_load (relay, now_us);
 }
 
@@ -213,6 +214,7 @@
                             config->retry_window_us);
   init_counters (&relay->counters, metrics);
   eel_domain_traffic_init (&relay->domain_traffic, metrics);
+  eel_domain_flow_init (&relay->domain_flow, &config->domain_flow);
   eel_pool_init (&relay->endpoint_pool, base, &config->endpoint);
   eel_reach_init (&relay->endpoint_reach, base, &config->endpoint,
                   on_endpoint_checked, relay);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -7,6 +7,7 @@
 
 #include "eelgrasslatch/crash_watch.h"
 #include "eelgrasslatch/directory.h"
+#include "eelgrasslatch/domain_flow.h"
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/fault_rate.h"
 #include "eelgrasslatch/gate.h"
@@ -92,6 +93,7 @@
   int64_t teams_max_age_us;
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
+  struct eel_domain_flow_config domain_flow;
 };
 
 struct eel_relay_counters
@@ -206,6 +208,7 @@
   uint64_t load_logged_started;
   struct eel_relay_counters counters;
   struct eel_domain_traffic domain_traffic;
+  struct eel_domain_flow domain_flow;
 };
 
 int eel_relay_init (struct eel_relay *relay,
@@ -258,6 +261,8 @@
 /* Gives back the numbers of service names that are not in use, once there may
    be as many of these as of the others. */
 void eel_relay_collect_names (struct eel_relay *relay);
+/* Logs the services whose requests begin or cease to leave the domain. */
+void eel_relay_log_flow (struct eel_relay *relay, int64_t now_us);
 /* Starts queued requests while slots are free; refuses those that can't be
    served in time. */
 void eel_relay_dispatch_queued (struct eel_relay *relay);
--- a/tests/run/test_cli.sh
+++ b/tests/run/test_cli.sh
@@ -27,6 +27,10 @@
 grep -q "^--place: 'fast' is neither use nor finish$" "$dir/out"
 printf '{}' >"$dir/bad.json"
 expect 78 "$BUILD/eelgrasslatch-platformd" --place=finish --check-config "$dir/bad.json"
+expect 64 "$BUILD/eelgrasslatch-platformd" --leave-domain=sometimes
+grep -q "^--leave-domain: use or flow, not sometimes$" "$dir/out"
+expect 64 "$BUILD/eelgrasslatch-platformd" --leave-domain=flow --kilobyte-cost=-1
+expect 64 "$BUILD/eelgrasslatch-platformd" --kilobyte-cost=nan
 expect 0 "$BUILD/eelgrasslatchctl" --version
 expect 0 "$BUILD/eelgrasslatchctl" --help
 expect 64 "$BUILD/eelgrasslatchctl" nonsense
--- /dev/null
+++ b/tests/unit/test_relay_domains.cc
@@ -0,0 +1,137 @@
+#include "relay_cluster.h"
+
+#include <gtest/gtest.h>
+
+// Requests enter at node 0, whose endpoint is at home; that of node 1 is in
+// another failure domain.  Endpoints answer when the test lets them.
+struct relay_domains_test : public ::testing::Test
+{
+  relay_cluster cluster{ 2 };
+  std::vector<std::unique_ptr<raw_conn>> conns;
+  bool home_answers = true;
+
+  relay_domains_test ()
+  {
+    cluster.set_routes ();
+    for (size_t i = 0; i < 2; i++)
+      {
+        cluster.list_upstream (i, 2);
+        cluster.nodes[i]->upstream.answer
+            = [this, i] (raw_upstream &, raw_conn &conn,
+                         const std::string &request) {
+                if (i == 1 || home_answers)
+                  raw_upstream::write (conn, answer_text (request, "a"));
+              };
+      }
+    struct eel_relay &relay = cluster.nodes[0]->relay;
+
+    relay.config.domain_flow = { 1, 0.001 };
+    eel_domain_flow_init (&relay.domain_flow, &relay.config.domain_flow);
+    eel_directory_find (&relay.directory, cluster.nodes[0]->id.c_str ())
+        ->same_domain
+        = 1;
+    eel_directory_find (&relay.directory, cluster.nodes[1]->id.c_str ())->domain
+        = 1;
+    eel_directory_find (&relay.directory, cluster.nodes[1]->id.c_str ())
+        ->same_domain
+        = 0;
+  }
+
+  ~relay_domains_test ()
+  {
+    for (auto &conn : conns)
+      bufferevent_free (conn->bev);
+  }
+
+  void
+  send (size_t count)
+  {
+    for (size_t i = 0; i < count; i++)
+      {
+        conns.push_back (cluster.connect ());
+        raw_upstream::write (
+            *conns.back (),
+            request_text ("GET", "/safe/",
+                          "d" + std::to_string (conns.size ())));
+      }
+  }
+
+  size_t
+  answered () const
+  {
+    size_t count = 0;
+
+    for (const auto &conn : conns)
+      count += status_of (conn->in) == "200";
+    return count;
+  }
+
+  uint64_t
+  left ()
+  {
+    const struct eel_domain_traffic &traffic
+        = cluster.nodes[0]->relay.domain_traffic;
+    uint64_t sum = 0;
+
+    for (uint32_t i = 0; i < traffic.count; i++)
+      for (const auto *metric : traffic.rows[i].requests)
+        sum += metric->value;
+    return sum;
+  }
+};
+
+TEST_F (relay_domains_test, NothingLeavesWhileHomeHasRoom)
+{
+  for (int i = 0; i < 5; i++)
+    {
+      send (1);
+      ASSERT_TRUE (
+          cluster.run_until ([&] { return answered () == conns.size (); }));
+    }
+  EXPECT_EQ (left (), 0U);
+  EXPECT_TRUE (cluster.nodes[1]->upstream.requests.empty ());
+}
+
+// What home refuses is served by the other domain at once, and counted with its
+// bytes.
+TEST_F (relay_domains_test, WhatHomeRefusesIsServedElsewhere)
+{
+  struct eel_relay &relay = cluster.nodes[0]->relay;
+
+  home_answers = false;
+  relay.gate.hold_us = 1500.0 * EEL_US_PER_MS;
+  send (8);
+  ASSERT_TRUE (cluster.run_until ([&] { return answered () >= 4; }));
+  EXPECT_GE (left (), 4U);
+  EXPECT_GE (cluster.nodes[1]->upstream.requests.size (), 4U);
+  EXPECT_EQ (cluster.nodes[0]->upstream.requests.size (), 1U);
+  ASSERT_GT (relay.domain_traffic.count, 0U);
+  for (const auto *metric :
+       { relay.domain_traffic.rows[0].bytes[EEL_TRAFFIC_REQUEST_HEAD],
+         relay.domain_traffic.rows[0].bytes[EEL_TRAFFIC_ANSWER_HEAD],
+         relay.domain_traffic.rows[0].bytes[EEL_TRAFFIC_ANSWER_BODY] })
+    EXPECT_GT (metric->value, 0U);
+}
+
+// The node of the other domain refuses guests for whom it has no slot soon, and
+// none of them has run.
+TEST_F (relay_domains_test, FullDomainRefusesGuests)
+{
+  struct eel_relay &relay = cluster.nodes[0]->relay;
+  struct eel_relay &other = cluster.nodes[1]->relay;
+
+  home_answers = false;
+  relay.gate.hold_us = 1500.0 * EEL_US_PER_MS;
+  other.gate.hold_us = 1500.0 * EEL_US_PER_MS;
+  other.gate.running = other.gate.limit;
+  send (6);
+  ASSERT_TRUE (cluster.run_until ([&] {
+    size_t refused = 0;
+
+    for (const auto &conn : conns)
+      refused += status_of (conn->in) == "503";
+    return refused >= 4;
+  }));
+  EXPECT_TRUE (cluster.nodes[1]->upstream.requests.empty ());
+  EXPECT_GE (other.gate.refused, 4U);
+}
