--- a/include/eelgrasslatch/domain_flow.h
+++ b/include/eelgrasslatch/domain_flow.h
@@ -48,6 +48,8 @@
   int64_t probed_us;
   /* A domain that refused a request gets none until then. */
   int64_t full_until_us[EEL_DOMAINS_MAX];
+  /* EWMA by domain of the share of requests that endpoints shed. */
+  float shed_share[EEL_DOMAINS_MAX];
   /* Requests of the present interval, and those of them that left. */
   uint32_t requests;
   uint32_t left;
@@ -149,6 +151,11 @@
                               uint32_t service,
                               uint8_t domain,
                               int64_t now_us);
+/* An endpoint of the domain ran a request, or shed it. */
+void eel_domain_flow_outcome (struct eel_domain_flow *flow,
+                              uint32_t service,
+                              uint8_t domain,
+                              int is_shed);
 /* Time until a node of the domain accepted a request. */
 void eel_domain_flow_report_way (struct eel_domain_flow *flow,
                                  uint8_t domain,
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -71,6 +71,8 @@
                               const struct eel_instance *instance);
 /* Records that the present endpoint's node had no slot in time. */
 void eel_entry_refused (struct eel_entry *entry);
+/* Records that the present endpoint ran the request, or shed it. */
+void eel_entry_ran (struct eel_entry *entry, int is_shed);
 /* Answers with an error of this node; frees the entry. */
 void eel_entry_answer_error (struct eel_entry *entry, enum eel_error error);
 /*
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -246,6 +246,7 @@
   int64_t latency_us = eel_clock_us () - entry->arrived_us;
 
   entry->arrivals++;
+  eel_entry_ran (entry, 0);
   if (!entry->has_head)
     {
       entry->may_have_run = 1;
@@ -325,6 +326,7 @@
     {
       entry->shed_by = entry->instance;
       eel_place_shed (entry->instance);
+      eel_entry_ran (entry, 1);
       eel_entry_gate_report_pressure (&relay->entry_gate, entry->call.route,
                                       SHED_PRESSURE_MILLI, eel_clock_us ());
     }
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -44,6 +44,13 @@
                              instance->domain, eel_clock_us ());
 }
 
+void
+eel_entry_ran (struct eel_entry *entry, int is_shed)
+{
+  eel_domain_flow_outcome (&entry->relay->domain_flow, entry->call.service,
+                           entry->instance->domain, is_shed);
+}
+
 void
 eel_relay_log_flow (struct eel_relay *relay, int64_t now_us)
 {
--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -7,6 +7,8 @@
 /* Age at which a report of an endpoint counts no more; it counts for less the
    older it is, the mean of its domain for more. */
 #define REPORT_LIFE_US (1500 * EEL_US_PER_MS)
+/* What leaving has to bring at least: estimates differ by as much. */
+#define GAIN_MIN 0.05
 /* Expected wait, as a share of the time left to the target beside the run: up
    to the first a request is in time, from the second on its endpoint's node
    refuses it or it is late. */
@@ -99,7 +101,7 @@
   domain = &view->domains[seen->instance->domain];
   if (seen->tried && seen->instance->domain != EEL_HOME_DOMAIN)
     view->tried_abroad++;
-  if (seen->tried || seen->obstacle != EEL_LEAVE_USE)
+  if (seen->tried || seen->obstacle < EEL_LEAVE_SHED)
     return;
   if (view->has_means)
     {
@@ -249,25 +251,28 @@
   const struct domain_view *home = &view->domains[EEL_HOME_DOMAIN];
   int64_t left_us = request->target_us - now_us;
   int is_refused = request->refusals >= HOME_REFUSALS;
-  double cost = way_cost (flow, request);
   double home_us = eel_flow_smooth_home (row, home->wait_us, now_us)
                    + calls_us (flow, request, EEL_HOME_DOMAIN, now_us);
-  double at_home
-      = is_refused ? 0 : in_time_share (home_us, home->hold_us, left_us);
+  double at_home = is_refused
+                       ? 0
+                       : in_time_share (home_us, home->hold_us, left_us)
+                             * (1 - (double)row->shed_share[EEL_HOME_DOMAIN]);
+  double gain;
   double wait_us = 0;
   uint8_t domain;
 
-  if (at_home >= 1 || (view->tried_abroad > 0 && !is_refused))
+  if (at_home > 1 - GAIN_MIN || (view->tried_abroad > 0 && !is_refused))
     return EEL_HOME_DOMAIN;
   domain = pick_room (flow, row, view, request, now_us, rng, &wait_us);
   if (domain == EEL_HOME_DOMAIN)
     return now_us - row->probed_us < PROBE_INTERVAL_US
                ? EEL_HOME_DOMAIN
                : pick_untold (row, view, 1, now_us, rng);
+  gain = in_time_share (wait_us, view->domains[domain].hold_us, left_us)
+             * (1 - (double)row->shed_share[domain])
+         - at_home - way_cost (flow, request);
   /* The part that leaves grows with what leaving brings. */
-  if (eel_rng_unit (rng)
-      >= in_time_share (wait_us, view->domains[domain].hold_us, left_us)
-             - at_home - cost)
+  if (gain < GAIN_MIN || eel_rng_unit (rng) >= gain)
     return EEL_HOME_DOMAIN;
   if (view->domains[domain].age_us > row->age_us)
     row->age_us = view->domains[domain].age_us;
--- a/src/routing/flow_service.c
+++ b/src/routing/flow_service.c
@@ -14,6 +14,8 @@
    leaves, and the intervals without any after which it has ended. */
 #define BEGIN_MILLI 20
 #define END_INTERVALS 2
+/* EWMA weight of one request in the share that endpoints shed. */
+#define SHED_WEIGHT 0.05F
 
 struct eel_flow_service *
 eel_flow_service (struct eel_domain_flow *flow, uint32_t service)
@@ -65,6 +67,20 @@
         = now_us + EEL_FLOW_FULL_US;
 }
 
+void
+eel_domain_flow_outcome (struct eel_domain_flow *flow,
+                         uint32_t service,
+                         uint8_t domain,
+                         int is_shed)
+{
+  float *share;
+
+  if (domain >= EEL_DOMAINS_MAX)
+    return;
+  share = &eel_flow_service (flow, service)->shed_share[domain];
+  *share += SHED_WEIGHT * ((float)(is_shed != 0) - *share);
+}
+
 /* Ends an interval of the row; returns 1 when is_leaving has changed. */
 static int
 end_interval (struct eel_flow_service *row, struct eel_flow_change *change)
--- a/tests/unit/test_domain_flow.cc
+++ b/tests/unit/test_domain_flow.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <memory>
 
 #include "domain_load.h"
 
@@ -185,53 +186,104 @@
   EXPECT_LT (dear.bytes, 0.5 * cheap.bytes);
 }
 
-// A domain whose endpoints are all unreachable may use any other; one that only
-// refuses offers its requests to three others at most.
-TEST (DomainFlow, HomeWithoutEndpointsGoesAnywhere)
+namespace
+{
+// A sender that knows an endpoint in each of three domains, e0 at home.
+struct one_sender : public ::testing::Test
 {
   struct eel_instance storage[4];
   struct eel_directory directory;
-  struct eel_domain_flow *flow = new eel_domain_flow;
-  const struct eel_domain_flow_config config = { 1, 0.001 };
-  const struct eel_place_query query = { 0, nullptr, 0 };
+  std::unique_ptr<struct eel_domain_flow> flow
+      = std::make_unique<struct eel_domain_flow> ();
   struct eel_flow_request request = {};
   struct eel_rng rng;
 
-  eel_rng_init (&rng, 1);
-  eel_domain_flow_init (flow, &config);
-  eel_directory_init (&directory, storage, 4);
-  for (uint32_t i = 0; i < 3; i++)
-    {
-      struct eel_instance instance = {};
-
-      snprintf (instance.id, sizeof instance.id, "e%u", i);
-      instance.revision = 1;
-      instance.slots = 10;
-      instance.domain = (uint8_t)i;
-      instance.same_domain = i == 0;
-      eel_directory_put (&directory, &instance, 0);
-    }
-  request.target_us = 2 * EEL_US_PER_S;
-  EXPECT_EQ (eel_domain_flow_choose (flow, &directory, &query, &request,
-                                     EEL_US_PER_S, &rng),
-             EEL_HOME_DOMAIN);
-  eel_place_failed (eel_directory_find (&directory, "e0"), EEL_US_PER_S);
-  EXPECT_EQ (eel_domain_flow_choose (flow, &directory, &query, &request,
-                                     EEL_US_PER_S, &rng),
-             EEL_ANY_DOMAIN);
+  one_sender ()
+  {
+    const struct eel_domain_flow_config config = { 1, 0.001 };
+
+    eel_rng_init (&rng, 1);
+    eel_domain_flow_init (flow.get (), &config);
+    eel_directory_init (&directory, storage, 4);
+    request.target_us = 2 * EEL_US_PER_S;
+    for (uint32_t i = 0; i < 3; i++)
+      {
+        struct eel_instance instance = {};
+
+        snprintf (instance.id, sizeof instance.id, "e%u", i);
+        instance.revision = 1;
+        instance.slots = 10;
+        instance.domain = (uint8_t)i;
+        instance.same_domain = i == 0;
+        eel_directory_put (&directory, &instance, 0);
+      }
+  }
+
+  uint8_t
+  choose (const struct eel_place_query &query)
+  {
+    return eel_domain_flow_choose (flow.get (), &directory, &query, &request,
+                                   EEL_US_PER_S, &rng);
+  }
+
+  // Answers from every endpoint, of which so many in a hundred shed.
+  void
+  answer (uint32_t endpoint, uint32_t shed_percent)
+  {
+    const struct eel_instance_report report = { 100, 0, 50000, 0, 0 };
+
+    for (uint32_t i = 0; i < 200; i++)
+      {
+        bool is_shed = i * 37 % 100 < shed_percent;
+
+        eel_place_answered (&storage[endpoint], &report, EEL_US_PER_S);
+        if (is_shed)
+          eel_place_shed (&storage[endpoint]);
+        eel_domain_flow_outcome (flow.get (), 0, (uint8_t)endpoint, is_shed);
+      }
+  }
+
+  // Number of 1000 requests that leave.
+  uint32_t
+  leaving ()
+  {
+    const struct eel_place_query query = { 0, nullptr, 0 };
+    uint32_t count = 0;
+
+    for (int i = 0; i < 1000; i++)
+      count += choose (query) != EEL_HOME_DOMAIN;
+    return count;
+  }
+};
+}
 
+// A domain whose endpoints are all unreachable may use any other; one that only
+// refuses offers its requests to three others at most.
+TEST_F (one_sender, HomeWithoutEndpointsGoesAnywhere)
+{
   const char *const tried[] = { "e0", "e1", "e2" };
-  const struct eel_place_query one = { 0, tried, 1 };
-  const struct eel_place_query all = { 0, tried, 3 };
 
+  EXPECT_EQ (choose ({ 0, nullptr, 0 }), EEL_HOME_DOMAIN);
+  eel_place_failed (eel_directory_find (&directory, "e0"), EEL_US_PER_S);
+  EXPECT_EQ (choose ({ 0, nullptr, 0 }), EEL_ANY_DOMAIN);
   request.refusals = 2;
-  EXPECT_LE (eel_domain_flow_choose (flow, &directory, &one, &request,
-                                     EEL_US_PER_S, &rng),
-             2);
-  EXPECT_EQ (eel_domain_flow_choose (flow, &directory, &all, &request,
-                                     EEL_US_PER_S, &rng),
-             EEL_NO_DOMAIN);
-  delete flow;
+  EXPECT_LE (choose ({ 0, tried, 1 }), 2);
+  EXPECT_EQ (choose ({ 0, tried, 3 }), EEL_NO_DOMAIN);
+}
+
+// Requests leave endpoints that shed them for those that don't, but stay where
+// all domains shed the same.
+TEST_F (one_sender, LeavesShedRequestsOnlyForWhoShedsLess)
+{
+  answer (0, 50);
+  answer (1, 0);
+  answer (2, 0);
+  EXPECT_GT (leaving (), 300U);
+  answer (1, 50);
+  answer (2, 50);
+  EXPECT_LT (leaving (), 100U);
+  answer (0, 0);
+  EXPECT_EQ (leaving (), 0U);
 }
 
 // The service that was unused for longest gives way; routes beyond the table
