--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -336,30 +336,6 @@
     eel_attempt_body_end (entry->attempt, entry->call.fingerprint);
 }
 
-/* A request that was in flight at a crash goes to one endpoint, whoever sends
-   it, so that it can't crash several at the same time. */
-static struct eel_instance *
-pick_instance (struct eel_entry *entry, const struct eel_place_query *query)
-{
-  struct eel_relay *relay = entry->relay;
-  uint64_t fingerprint = entry->call.fingerprint;
-  int64_t now_us = eel_clock_us ();
-  const struct eel_flow_request request
-      = { .route = entry->call.route,
-          .route_target_us = entry->call.route_target_us,
-          .target_us = entry->call.target_us,
-          .refusals = entry->refusals_at_home };
-
-  if (fingerprint != 0
-      && eel_quarantine_find (&relay->quarantine, fingerprint, now_us) != NULL)
-    return eel_place_pick_for (&relay->directory, query, fingerprint, now_us);
-  if (relay->config.domain_flow.enabled)
-    return eel_domain_flow_pick (&relay->domain_flow, &relay->directory, query,
-                                 &request, now_us, &relay->rng,
-                                 &entry->call.is_guest);
-  return eel_place_pick (&relay->directory, query, now_us, &relay->rng);
-}
-
 /* Returns the endpoint to try next, or NULL when none is left. */
 static struct eel_instance *
 next_instance (struct eel_entry *entry)
@@ -376,7 +352,7 @@
     return NULL;
   entry->call.is_guest = 0;
   if (entry->arrivals < entry->attempts_max)
-    instance = pick_instance (entry, &query);
+    instance = eel_entry_pick (entry, &query);
   /* An endpoint that sheds a share of all requests may accept this one when it
      is sent again. */
   if (instance == NULL && entry->shed_by != NULL
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -65,6 +65,11 @@
 /* Offers the request to the next endpoint; answers with if_none when none is
    left.  May free the entry. */
 void eel_entry_next (struct eel_entry *entry, enum eel_error if_none);
+/* Returns the endpoint to offer the request to, or NULL.  One that was in
+   flight at a crash goes to one endpoint, whoever sends it, so that it can't
+   crash several at the same time. */
+struct eel_instance *eel_entry_pick (struct eel_entry *entry,
+                                     const struct eel_place_query *query);
 /* Counts, by cause, a request that goes to an endpoint of another failure
    domain; call it before that endpoint counts as tried. */
 void eel_entry_count_leaving (struct eel_entry *entry,
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -5,11 +5,34 @@
 #include "internal/task.h"
 #include "relay/entry.h"
 
-/* Requests that leave the failure domain. */
+/* Which endpoint a request goes to, and whether it leaves the failure domain.
+ */
 
 /* Lines of one second; changes beyond these get none. */
 #define FLOW_LINES_MAX 8
 
+struct eel_instance *
+eel_entry_pick (struct eel_entry *entry, const struct eel_place_query *query)
+{
+  struct eel_relay *relay = entry->relay;
+  uint64_t fingerprint = entry->call.fingerprint;
+  int64_t now_us = eel_clock_us ();
+  const struct eel_flow_request request
+      = { .route = entry->call.route,
+          .route_target_us = entry->call.route_target_us,
+          .target_us = entry->call.target_us,
+          .refusals = entry->refusals_at_home };
+
+  if (fingerprint != 0
+      && eel_quarantine_find (&relay->quarantine, fingerprint, now_us) != NULL)
+    return eel_place_pick_for (&relay->directory, query, fingerprint, now_us);
+  if (relay->config.domain_flow.enabled)
+    return eel_domain_flow_pick (&relay->domain_flow, &relay->directory, query,
+                                 &request, now_us, &relay->rng,
+                                 &entry->call.is_guest);
+  return eel_place_pick (&relay->directory, query, now_us, &relay->rng);
+}
+
 void
 eel_entry_count_leaving (struct eel_entry *entry,
                          const struct eel_instance *instance)
