--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -53,3 +53,26 @@
   if (load->revision > relay->peer_revision)
     relay->peer_revision = load->revision;
 }
+
+/* Logs at most one line per second, for later analysis; none while no request
+   starts. */
+void
+eel_relay_log_load (struct eel_relay *relay, int64_t now_us)
+{
+  struct eel_gate *gate = &relay->gate;
+
+  if (now_us < relay->load_logged_us + EEL_US_PER_S
+      || gate->started == relay->load_logged_started)
+    return;
+  g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
+             "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
+             " callers=%u links=%u faults=%u endpoint_limit=%.1f speed=%u",
+             gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
+             gate->started - relay->load_logged_started, gate->refused,
+             relay->callers.exchange_count, relay->endpoint_pool.open_count,
+             eel_fault_rate_milli (&relay->fault_rate, now_us),
+             gate->rate.per_s,
+             eel_run_times_speed_milli (&relay->run_times, now_us));
+  relay->load_logged_us = now_us;
+  relay->load_logged_started = gate->started;
+}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -43,29 +43,6 @@
   eel_pool_sweep (value, *(int64_t *)data);
 }
 
-/* Logs at most one line per second, for later analysis; none while no request
-   starts. */
-static void
-log_load (struct eel_relay *relay, int64_t now_us)
-{
-  struct eel_gate *gate = &relay->gate;
-
-  if (now_us < relay->load_logged_us + EEL_US_PER_S
-      || gate->started == relay->load_logged_started)
-    return;
-  g_message ("event=load limit=%u running=%u queued=%u hold_ms=%.0f "
-             "started=%" G_GUINT64_FORMAT " refused=%" G_GUINT64_FORMAT
-             " callers=%u links=%u faults=%u endpoint_limit=%.1f speed=%u",
-             gate->limit, gate->running, gate->queued, gate->hold_us / 1000,
-             gate->started - relay->load_logged_started, gate->refused,
-             relay->callers.exchange_count, relay->endpoint_pool.open_count,
-             eel_fault_rate_milli (&relay->fault_rate, now_us),
-             gate->rate.per_s,
-             eel_run_times_speed_milli (&relay->run_times, now_us));
-  relay->load_logged_us = now_us;
-  relay->load_logged_started = gate->started;
-}
-
 static void
 remove_expired (struct eel_relay *relay, int64_t now_us)
 {
@@ -118,7 +95,7 @@
   eel_relay_review_spared (relay, now_us);
   eel_domain_traffic_tick (&relay->domain_traffic, now_us);
   eel_relay_log_flow (relay, now_us);
-  log_load (relay, now_us);
+  eel_relay_log_load (relay, now_us);
 }
 
 static void
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -261,6 +261,8 @@
 /* Gives back the numbers of service names that are not in use, once there may
    be as many of these as of the others. */
 void eel_relay_collect_names (struct eel_relay *relay);
+/* Logs what the endpoint does, at most once a second. */
+void eel_relay_log_load (struct eel_relay *relay, int64_t now_us);
 /* Logs the services whose requests begin or cease to leave the domain. */
 void eel_relay_log_flow (struct eel_relay *relay, int64_t now_us);
 /* Starts queued requests while slots are free; refuses those that can't be
--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -22,9 +22,6 @@
 #define FAULT_SPILL_MILLI 150
 /* Cost of a fault rate of 1: that of a use of twice the limit. */
 #define FAULT_COST_FACTOR 2
-/* Bounds of the backoff for which a failing endpoint is avoided. */
-#define AVOID_FIRST_US (250 * EEL_US_PER_MS)
-#define AVOID_MAX_US (2 * EEL_US_PER_S)
 /* A cold endpoint runs requests at about half its normal speed. */
 #define COLD_USE_PERCENT 200
 /* An endpoint whose requests hold their slots this many times longer than at
@@ -40,8 +37,6 @@
  * other domains is older than the time in which their queues change. */
 #define SPREAD_FACTOR 2
 
-/* EWMA weight of one answer in the share of shed requests. */
-#define SHED_EWMA_WEIGHT 0.1
 /* Shed rate from which on an endpoint of the own domain is not preferred. */
 #define SHED_RATE_SPILL 0.15
 /* Cost added at a shed rate of 1: that of a use of twice the limit. */
@@ -359,7 +354,7 @@
 {
   struct service_view view;
 
-  view_service (directory, query->service, now_us, &view);
+  view_service (directory, query, now_us, &view);
   for (uint32_t i = 0; i < directory->count; i++)
     {
       const struct eel_instance *instance = &directory->instances[i];
@@ -378,64 +373,3 @@
       each (data, &seen);
     }
 }
-
-void
-eel_place_sent (struct eel_instance *instance)
-{
-  instance->in_flight++;
-  instance->sent_since_report++;
-  instance->unaccepted++;
-}
-
-/* Records that the endpoint's node accepted a request. */
-void
-eel_place_accepted (struct eel_instance *instance)
-{
-  if (instance->unaccepted > 0)
-    instance->unaccepted--;
-}
-
-/* Ends the backoff and counts an answer that was not shed. */
-void
-eel_place_answered (struct eel_instance *instance,
-                    const struct eel_instance_report *report,
-                    int64_t now_us)
-{
-  instance->report = *report;
-  instance->reported_us = now_us;
-  eel_finish_record (instance, report, now_us);
-  instance->failures = 0;
-  instance->avoid_until_us = 0;
-  instance->shed_rate -= SHED_EWMA_WEIGHT * instance->shed_rate;
-}
-
-/* Records that the endpoint itself refused a request. */
-void
-eel_place_shed (struct eel_instance *instance)
-{
-  /* eel_place_answered counted this answer as one that was not shed. */
-  instance->shed_rate += SHED_EWMA_WEIGHT;
-}
-
-/* Doubles the backoff with each consecutive failure. */
-void
-eel_place_failed (struct eel_instance *instance, int64_t now_us)
-{
-  int64_t avoid_us = AVOID_FIRST_US
-                     << (instance->failures < 8 ? instance->failures : 8);
-
-  instance->failures++;
-  if (avoid_us > AVOID_MAX_US)
-    avoid_us = AVOID_MAX_US;
-  instance->avoid_until_us = now_us + avoid_us;
-}
-
-/* Ends a request; accepted tells whether the node accepted it. */
-void
-eel_place_done (struct eel_instance *instance, int accepted)
-{
-  if (instance->in_flight > 0)
-    instance->in_flight--;
-  if (!accepted)
-    eel_place_accepted (instance);
-}
--- a/tests/unit/test_domain_flow.cc
+++ b/tests/unit/test_domain_flow.cc
@@ -220,8 +220,12 @@
   }
 
   uint8_t
-  choose (const struct eel_place_query &query)
+  choose (const char *const *tried = nullptr, uint32_t tried_count = 0)
   {
+    struct eel_place_query query = {};
+
+    query.tried = tried;
+    query.tried_count = tried_count;
     return eel_domain_flow_choose (flow.get (), &directory, &query, &request,
                                    EEL_US_PER_S, &rng);
   }
@@ -230,7 +234,10 @@
   void
   answer (uint32_t endpoint, uint32_t shed_percent)
   {
-    const struct eel_instance_report report = { 100, 0, 50000, 0, 0 };
+    struct eel_instance_report report = {};
+
+    report.use_milli = 100;
+    report.hold_us = 50000;
 
     for (uint32_t i = 0; i < 200; i++)
       {
@@ -247,11 +254,10 @@
   uint32_t
   leaving ()
   {
-    const struct eel_place_query query = { 0, nullptr, 0 };
     uint32_t count = 0;
 
     for (int i = 0; i < 1000; i++)
-      count += choose (query) != EEL_HOME_DOMAIN;
+      count += choose () != EEL_HOME_DOMAIN;
     return count;
   }
 };
@@ -263,12 +269,12 @@
 {
   const char *const tried[] = { "e0", "e1", "e2" };
 
-  EXPECT_EQ (choose ({ 0, nullptr, 0 }), EEL_HOME_DOMAIN);
+  EXPECT_EQ (choose (), EEL_HOME_DOMAIN);
   eel_place_failed (eel_directory_find (&directory, "e0"), EEL_US_PER_S);
-  EXPECT_EQ (choose ({ 0, nullptr, 0 }), EEL_ANY_DOMAIN);
+  EXPECT_EQ (choose (), EEL_ANY_DOMAIN);
   request.refusals = 2;
-  EXPECT_LE (choose ({ 0, tried, 1 }), 2);
-  EXPECT_EQ (choose ({ 0, tried, 3 }), EEL_NO_DOMAIN);
+  EXPECT_LE (choose (tried, 1), 2);
+  EXPECT_EQ (choose (tried, 3), EEL_NO_DOMAIN);
 }
 
 // Requests leave endpoints that shed them for those that don't, but stay where
