Ask for a token of a team's cap at the entry

A request of a team with a cap takes a token before anything else is spent for it, waits briefly for one, or gets 429 with the time until it can expect one; 503 when no holder answers. Nodes exchange datagrams at a port of their own.

--- a/include/eelgrasslatch/team_cap.h
+++ b/include/eelgrasslatch/team_cap.h
@@ -229,6 +229,8 @@
   /* When a request can expect a token. */
   int64_t retry_at_us;
   int64_t used_us;
+  uint64_t admitted;
+  uint64_t refused;
   /* Listed among those that are looked at with the next message. */
   uint8_t pending;
 };
@@ -277,6 +279,8 @@
   /* Teams that gave way to others; holders that didn't answer. */
   uint64_t evicted;
   uint64_t holders_lost;
+  uint64_t admitted;
+  uint64_t refused;
   /* When the token that was taken last expires. */
   int64_t taken_expires_us;
 };
--- a/src/admission/team_cap.c
+++ b/src/admission/team_cap.c
@@ -111,6 +111,8 @@
   if (first == NULL)
     return 0;
   first->tokens--;
+  team->admitted++;
+  cap->admitted++;
   cap->taken_expires_us = first->expires_us;
   return 1;
 }
@@ -185,6 +187,14 @@
          && team->retry_at_us > team->limited_until_us;
 }
 
+static enum eel_cap_verdict
+refuse (struct eel_team_cap *cap, struct eel_cap_team *team)
+{
+  team->refused++;
+  cap->refused++;
+  return EEL_CAP_REFUSE;
+}
+
 static void
 add_pending (struct eel_team_cap *cap, struct eel_cap_team *team)
 {
@@ -206,7 +216,7 @@
   if (team->waiting == 0 && take (cap, team, now_us))
     verdict = EEL_CAP_ADMIT;
   else if (is_above_cap (team, now_us))
-    return EEL_CAP_REFUSE;
+    return refuse (cap, team);
   if (verdict == EEL_CAP_WAIT)
     team->waiting++;
   if (team->waiting > 0 || eel_cap_team_wants (team, now_us) > 0)
@@ -235,7 +245,7 @@
   if (take (cap, team, now_us))
     verdict = EEL_CAP_ADMIT;
   else if (is_above_cap (team, now_us))
-    verdict = EEL_CAP_REFUSE;
+    verdict = refuse (cap, team);
   if (verdict != EEL_CAP_WAIT)
     eel_team_cap_leave (cap, id);
   return verdict;
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -8,11 +8,14 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
+#include "relay/caps.h"
 
 /* A longer body is not buffered, so the request can't be retried. */
 #define REPLAY_BYTES_MAX EEL_CRASH_BODY_BYTES
 /* Reading the request's body pauses while more than this waits to be sent. */
 #define BODY_PENDING_BYTES_MAX 262144
+/* Reading the body of a request that waits for a token pauses beyond this. */
+#define WAITING_BODY_BYTES_MAX 32768
 /* How long after its deadline an answer that has begun may end. */
 #define LATE_ANSWER_US (1 * EEL_US_PER_S)
 /* For requests whose route's settings are not known. */
@@ -22,6 +25,7 @@
 void
 eel_entry_free (struct eel_entry *entry)
 {
+  eel_entry_leave_caps (entry);
   eel_attempt_free (entry->attempt);
   if (entry->deadline != NULL)
     event_free (entry->deadline);
@@ -213,6 +217,34 @@
              && request->length_bytes > 0);
 }
 
+/* A body that has been read while the request waited is known whole. */
+void
+eel_entry_admit (struct eel_entry *entry)
+{
+  struct eel_relay *relay = entry->relay;
+  struct eel_exchange *exchange = entry->exchange;
+  int awaits_body = has_body (&exchange->request) && !entry->body_done;
+
+  eel_exchange_pause (exchange, 0);
+  eel_call_costs_count_call (&relay->call_costs, entry->call.route);
+  eel_service_retries_request (&relay->retries, entry->call.service,
+                               entry->arrived_us);
+  if (!eel_entry_gate_admit (&relay->entry_gate, entry->call.route,
+                             entry->call.rank, eel_clock_us (), &relay->rng))
+    {
+      eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
+      return;
+    }
+  eel_team_use_count (&relay->team_use, entry->call.team_id, entry->team,
+                      EEL_TEAM_USE_ADMITTED);
+  entry->held_back = awaits_body && entry->call.fingerprint == 0
+                     && eel_crash_suspects_bodies (relay);
+  if (!awaits_body)
+    entry->call.fingerprint = eel_crash_content_fingerprint (&entry->content);
+  if (!entry->held_back)
+    place (entry);
+}
+
 static void
 on_request (struct eel_exchange *exchange)
 {
@@ -230,23 +262,8 @@
       eel_entry_refuse (exchange, EEL_ERROR_OVERLOADED, DEFAULT_RETRY_AFTER_US);
       return;
     }
-  eel_call_costs_count_call (&relay->call_costs, route->id);
-  eel_service_retries_request (&relay->retries, entry->call.service,
-                               entry->arrived_us);
-  if (!eel_entry_gate_admit (&relay->entry_gate, route->id, entry->call.rank,
-                             entry->arrived_us, &relay->rng))
-    {
-      eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
-      return;
-    }
-  eel_team_use_count (&relay->team_use, entry->call.team_id, entry->team,
-                      EEL_TEAM_USE_ADMITTED);
-  entry->held_back
-      = has_body (&exchange->request) && eel_crash_suspects_bodies (relay);
-  if (!has_body (&exchange->request))
-    entry->call.fingerprint = eel_crash_content_fingerprint (&entry->content);
-  if (!entry->held_back)
-    place (entry);
+  if (eel_entry_take_token (entry))
+    eel_entry_admit (entry);
 }
 
 /* Buffers the body for another attempt up to REPLAY_BYTES_MAX. */
@@ -276,6 +293,9 @@
   if (exchange->state == NULL)
     return;
   keep_for_replay (entry, data, bytes);
+  if (entry->waits_for_token && entry->replay != NULL
+      && evbuffer_get_length (entry->replay) > WAITING_BODY_BYTES_MAX)
+    eel_exchange_pause (exchange, 1);
   if (entry->attempt == NULL)
     return;
   entry->attempt->call.fingerprint = entry->call.fingerprint;
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -46,6 +46,13 @@
      crashes endpoints. */
   uint8_t held_back;
 
+  /* Waits for a token of its team's cap, and until when. */
+  uint8_t waits_for_token;
+  GList waiting_link;
+  int64_t token_until_us;
+  uint8_t has_token;
+  int64_t token_expires_us;
+
   /* The answer is buffered until it is complete or exceeds a limit. */
   struct evbuffer *lines;
   struct evbuffer *held;
@@ -60,6 +67,9 @@
 };
 
 void eel_entry_free (struct eel_entry *entry);
+/* Goes on with a request that is within the cap of its team.  May free the
+   entry. */
+void eel_entry_admit (struct eel_entry *entry);
 /* Offers the request to the next endpoint; answers with if_none when none is
    left.  May free the entry. */
 void eel_entry_next (struct eel_entry *entry, enum eel_error if_none);
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -4,6 +4,7 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
+#include "relay/caps.h"
 #include "relay/crash.h"
 #include "relay/entry.h"
 
@@ -103,7 +104,7 @@
   int64_t after_us = status == 503 ? retry_after_us (entry) : 0;
 
   eel_metric_add (
-      status == 503 ? relay->counters.refused : relay->counters.failed, 1);
+      status == 503 || status == 429 ? relay->counters.refused : relay->counters.failed, 1);
   g_message (
       "event=not_served request=%s error=%s status=%u service=%s "
       "rank=%u tried=%u arrivals=%u may_have_run=%u "
@@ -118,9 +119,15 @@
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route));
   if (reported == EEL_ERROR_LEAVING)
     after_us = EEL_ENTRY_LEAVING_RETRY_US;
+  if (reported == EEL_ERROR_TEAM_CAP)
+    after_us = eel_entry_cap_wait_us (entry);
   if (entry->tried_count > 0)
     report_outcome (entry, 1);
-  relay->entry_failed_us = now_us;
+  /* Calls of this node's endpoint meet no cap. */
+  if (reported != EEL_ERROR_TEAM_CAP)
+    relay->entry_failed_us = now_us;
+  if (entry->arrivals == 0 && !entry->may_have_run)
+    eel_entry_return_token (entry);
   eel_entry_free (entry);
   eel_entry_refuse (exchange, reported, after_us);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -7,6 +7,7 @@
 
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/caps.h"
 #include "relay/crash_news.h"
 #include "relay/crash_trial.h"
 #include "relay/entry.h"
@@ -116,6 +117,7 @@
   eel_metric_set (relay->counters.speed,
                   eel_run_times_speed_milli (&relay->run_times, now_us));
   eel_relay_review_spared (relay, now_us);
+  eel_caps_report (relay->caps, now_us);
   log_load (relay, now_us);
 }
 
@@ -192,6 +194,7 @@
   memset (relay, 0, sizeof *relay);
   relay->base = base;
   relay->config = *config;
+  relay->metrics = metrics;
   relay->limit_logged_per_s = EEL_RATE_UNLIMITED;
   eel_rng_init (&relay->rng, (uint64_t)eel_clock_us ()
                                  ^ ((uint64_t)config->ip.s_addr << 32));
@@ -249,6 +252,7 @@
       relay->routes = NULL;
     }
   eel_relay_set_teams (relay, NULL);
+  eel_caps_free (relay->caps);
   free (relay->directory.instances);
   eel_service_retries_finish (&relay->retries);
   eel_service_names_finish (&relay->names);
@@ -303,6 +307,7 @@
   if (own != NULL && own->slots > 0)
     eel_gate_set_slots (&relay->gate, own->slots);
   share_fixed_retries (relay);
+  eel_caps_nodes_changed (relay);
   refuse_leaving (relay);
   eel_relay_dispatch_queued (relay);
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -15,6 +15,7 @@
 #include "eelgrasslatch/run_times.h"
 #include "eelgrasslatch/team_table.h"
 #include "eelgrasslatch/team_use.h"
+#include "eelgrasslatch/team_cap.h"
 #include "internal/metrics.h"
 #include "relay/pool.h"
 #include "relay/reach.h"
@@ -91,6 +92,11 @@
   int64_t teams_max_age_us;
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
+  /* Where nodes exchange messages about caps, on every VM at the same port; 0:
+     none. */
+  struct sockaddr_in caps;
+  /* What windows may exceed the caps of teams by. */
+  struct eel_cap_tolerance cap_tolerance;
 };
 
 struct eel_relay_counters
@@ -147,6 +153,9 @@
   int64_t outdated_since_us;
   uint64_t outdated_refused;
   struct eel_team_use team_use;
+  /* NULL until a configuration has a team with a cap. */
+  struct eel_caps *caps;
+  struct eel_metrics *metrics;
   struct eel_directory directory;
   struct eel_gate gate;
   /* Of this node's endpoint. */
--- a/src/relay/teams.c
+++ b/src/relay/teams.c
@@ -3,6 +3,7 @@
 
 #include "internal/task.h"
 #include "relay/attempt.h"
+#include "relay/caps.h"
 #include "relay/relay.h"
 
 /* A team's rank goes before that of a route, so either may be the last. */
@@ -32,6 +33,7 @@
     }
   relay->teams = teams;
   eel_relay_update_last_rank (relay);
+  eel_caps_teams_changed (relay);
 }
 
 int
--- a/tests/unit/cap_world.cc
+++ b/tests/unit/cap_world.cc
@@ -331,8 +331,8 @@
 
     if (config.where == cap_world_config::AT_ONCE)
       {
-        wait_s = 1.5 + unit ();
-        count = (uint32_t)(per_s * 2) + 1;
+        wait_s = 1 + config.burst_s * (1 + unit ());
+        count = (uint32_t)(per_s * wait_s) + 1;
       }
     after ((int64_t)(std::fmin (wait_s, 1000) * EEL_US_PER_S),
            [this, index, count] {
@@ -412,7 +412,7 @@
         cut_off[i] = by_domain ? nodes[i]->domain == 0 : unit () < share;
       cut_from = !one_way || unit () < 0.5;
       cut_to = !one_way || !cut_from;
-      after ((int64_t)(unit () * 5 * EEL_US_PER_S),
+      after ((int64_t)(unit () * (double)config.cut_max_us),
              [this] { cut_from = cut_to = false; });
     });
   }
@@ -620,16 +620,17 @@
   config.nodes = 3 + below (below (10) == 0 ? 298 : 40);
   config.teams = 1 + below (below (10) == 0 ? 500 : 20);
   config.cap_per_s = 5 * std::pow (200, eel_rng_unit (&rng));
-  config.burst_s = 2 * eel_rng_unit (&rng);
+  config.burst_s = 6 * eel_rng_unit (&rng);
   config.demand = 0.3 + (below (2) == 0 ? 1 : 5) * eel_rng_unit (&rng);
   config.where = (decltype (config.where))below (4);
-  config.length_us = 16 * EEL_US_PER_S;
+  config.length_us = (16 + below (3) * 8) * EEL_US_PER_S;
+  config.cut_max_us = (3 + below (3) * 6) * EEL_US_PER_S;
   config.loss = below (3) == 0 ? 0.1 * eel_rng_unit (&rng) : 0;
   config.delay_max_us = (1 + below (30)) * EEL_US_PER_MS;
   config.cuts = some (3);
   config.one_way_cuts = some (2);
   config.freezes = some (4);
-  config.restarts = some (4);
+  config.restarts = some (8);
   config.lost_holders = below (4) == 0 ? 1 : 0;
   config.joins = below (4) == 0 ? below (10) : 0;
   config.lowered = below (4) == 0 ? 0.2 + 0.6 * eel_rng_unit (&rng) : 1;
--- a/tests/unit/cap_world.h
+++ b/tests/unit/cap_world.h
@@ -37,6 +37,7 @@
   int64_t delay_max_us = 2 * EEL_US_PER_MS;
   // Disturbances over the whole time.
   uint32_t cuts = 0;
+  int64_t cut_max_us = 5 * EEL_US_PER_S;
   uint32_t one_way_cuts = 0;
   uint32_t freezes = 0;
   uint32_t restarts = 0;
--- a/tests/unit/relay_cluster.cc
+++ b/tests/unit/relay_cluster.cc
@@ -215,6 +215,8 @@
       config.ip = config.callers.sin_addr;
       config.peers = config.callers;
       config.peers.sin_port = htons (peers);
+      config.caps = config.peers;
+      config.cap_tolerance = { 0.25, 20 };
       config.endpoint = node->upstream.address;
       config.retry_ratio = 0.2;
       config.retry_extra = 4 * count;
