--- a/tests/unit/cap_world.cc
+++ b/tests/unit/cap_world.cc
@@ -362,7 +362,8 @@
   list_changed ()
   {
     for (auto &node : nodes)
-      after ((int64_t)(unit () * EEL_US_PER_S), [this, n = node.get ()] {
+      after ((int64_t)(unit () * (double)config.list_lag_us),
+             [this, n = node.get ()] {
         deliver (*n, [this, n] { update_view (*n); });
       });
   }
--- a/tests/unit/cap_world.h
+++ b/tests/unit/cap_world.h
@@ -43,6 +43,8 @@
   uint32_t restarts = 0;
   uint32_t lost_holders = 0;
   uint32_t joins = 0;
+  // How long nodes take to learn of a change of the list at most.
+  int64_t list_lag_us = 1 * EEL_US_PER_S;
   // Caps fall to this share in the middle.
   double lowered = 1;
 };
--- a/tests/unit/test_team_cap_worlds.cc
+++ b/tests/unit/test_team_cap_worlds.cc
@@ -27,6 +27,85 @@
   RecordProperty ("worst_milli", (int)(worst * 1000));
 }
 
+struct fault_case
+{
+  const char *name;
+  void (*set) (cap_world_config &config);
+};
+
+// Guards against each kind of disturbance by itself, with large bursts and more
+// demand than the cap lets pass.
+TEST (TeamCapWorlds, EachDisturbanceKeepsWithinTheBound)
+{
+  const fault_case cases[] = {
+    { "holder restarts", [] (cap_world_config &c) { c.restarts = 12; } },
+    { "holder freezes", [] (cap_world_config &c) { c.freezes = 12; } },
+    { "cuts", [] (cap_world_config &c) { c.cuts = 3; } },
+    { "long cut",
+      [] (cap_world_config &c) {
+        c.cuts = 1;
+        c.cut_max_us = 20 * EEL_US_PER_S;
+        c.where = cap_world_config::AT_ONCE;
+        c.demand = 0.8;
+      } },
+    { "cuts after quiet times",
+      [] (cap_world_config &c) {
+        c.cuts = 6;
+        c.cut_max_us = 3 * EEL_US_PER_S;
+        c.where = cap_world_config::AT_ONCE;
+        c.demand = 0.8;
+      } },
+    { "one-way cuts", [] (cap_world_config &c) { c.one_way_cuts = 4; } },
+    { "cuts with large demand",
+      [] (cap_world_config &c) {
+        c.cuts = 6;
+        c.burst_s = 0.1;
+        c.demand = 10;
+      } },
+    { "one-way cuts with large demand",
+      [] (cap_world_config &c) {
+        c.one_way_cuts = 6;
+        c.cut_max_us = 10 * EEL_US_PER_S;
+        c.burst_s = 0.1;
+        c.demand = 10;
+      } },
+    { "many join, lists lag",
+      [] (cap_world_config &c) {
+        c.joins = 30;
+        c.list_lag_us = 10 * EEL_US_PER_S;
+        c.burst_s = 0.1;
+      } },
+    { "loss", [] (cap_world_config &c) { c.loss = 0.2; } },
+    { "slow network",
+      [] (cap_world_config &c) { c.delay_max_us = 60 * EEL_US_PER_MS; } },
+    { "lowered cap", [] (cap_world_config &c) { c.lowered = 0.2; } },
+    { "holders lost", [] (cap_world_config &c) { c.lost_holders = 3; } },
+  };
+
+  for (const auto &c : cases)
+    {
+      double worst = 0;
+
+      for (uint64_t seed = 1; seed <= 12; seed++)
+        {
+          cap_world_config config;
+
+          config.seed = seed;
+          config.nodes = 10;
+          config.teams = 2;
+          config.cap_per_s = 800;
+          config.burst_s = 2;
+          config.demand = 4;
+          config.length_us = 30 * EEL_US_PER_S;
+          c.set (config);
+          worst = std::max (worst, run_cap_world (config).worst);
+        }
+      EXPECT_LE (worst, 1) << c.name;
+      if (getenv ("CAP_SHOW") != nullptr)
+        printf ("%-32s worst %.3f\n", c.name, worst);
+    }
+}
+
 struct fair_case
 {
   const char *name;
