Keep buckets within the smaller share when the share changes

A bucket that was not asked for while its holder had a small share kept what it had gained before: a holder that others came back to could grant a whole burst twice. Buckets are settled at each change of the share now.

--- a/include/eelgrasslatch/team_cap.h
+++ b/include/eelgrasslatch/team_cap.h
@@ -136,7 +136,8 @@
   uint64_t team;
   uint32_t group;
   double tokens;
-  /* Tokens that it holds at most with all nodes heard. */
+  /* Tokens that it gets a second, and holds at most, with all nodes heard. */
+  double rate_per_s;
   double capacity;
   /* Value of the group's filled_s when it was filled last. */
   double filled_s;
@@ -150,13 +151,12 @@
 {
   int64_t heard_us[EEL_CAP_WITNESSES_MAX];
   uint32_t reported_nodes[EEL_CAP_WITNESSES_MAX];
-  /* Share of all nodes heard from, and its greatest value since the start of
-     filling. */
+  /* Share of all nodes heard from. */
   double share;
-  double share_max;
-  /* Integral of the share over time, in seconds, and its value when teams
-     without a bucket began to fill. */
+  /* Integral of the share over time, in seconds. */
   double filled_s;
+  /* Both when teams without a bucket began to fill. */
+  double since_share;
   double since_s;
   int64_t updated_us;
 };
@@ -171,6 +171,9 @@
   uint32_t witness_count;
   struct eel_cap_group groups[EEL_CAP_GROUPS_MAX];
   struct eel_cap_bucket *buckets;
+  /* Indices of the buckets that are in use. */
+  uint16_t *used;
+  uint32_t used_count;
   uint64_t granted;
   /* Buckets that gave way to others. */
   uint64_t evicted;
--- a/src/admission/team_cap_holder.c
+++ b/src/admission/team_cap_holder.c
@@ -13,8 +13,8 @@
 #define SLACK_MARGIN 0.25
 #define UNMET_DECAY_S 0.5
 #define UPDATE_INTERVAL_US (10 * EEL_US_PER_MS)
-/* Teams without a bucket start to fill anew after the share has fallen so far
-   below its greatest value. */
+/* Teams without a bucket start to fill anew after the share has changed by so
+   much. */
 #define SHARE_KEPT 0.75
 #define WAIT_MAX_US (10 * EEL_US_PER_S)
 #define NEVER_US (INT64_MIN / 2)
@@ -28,14 +28,16 @@
   holder->view = view;
   holder->tolerance = *tolerance;
   holder->buckets = calloc (BUCKETS_MAX, sizeof *holder->buckets);
+  holder->used = calloc (BUCKETS_MAX, sizeof *holder->used);
   eel_cap_holder_reset (holder, 0);
-  return holder->buckets != NULL;
+  return holder->buckets != NULL && holder->used != NULL;
 }
 
 void
 eel_cap_holder_finish (struct eel_cap_holder *holder)
 {
   free (holder->buckets);
+  free (holder->used);
 }
 
 static void
@@ -50,6 +52,7 @@
 eel_cap_holder_reset (struct eel_cap_holder *holder, int64_t now_us)
 {
   holder->group_count = holder->view->group_count;
+  holder->used_count = 0;
   copy_witnesses (holder);
   if (holder->buckets != NULL)
     memset (holder->buckets, 0, BUCKETS_MAX * sizeof *holder->buckets);
@@ -86,19 +89,29 @@
   return of == 0 ? 0 : (double)heard / of;
 }
 
-/* A smaller share means smaller buckets. */
+/* Fills a bucket up to the present time. */
 static void
-clip_buckets (struct eel_cap_holder *holder, uint32_t group)
+settle (const struct eel_cap_group *group,
+        struct eel_cap_bucket *bucket,
+        double share)
 {
-  double share = holder->groups[group].share;
+  bucket->tokens = fmin (bucket->tokens
+                             + bucket->rate_per_s
+                                   * (group->filled_s - bucket->filled_s),
+                         bucket->capacity * share);
+  bucket->filled_s = group->filled_s;
+}
 
-  for (uint32_t i = 0; i < BUCKETS_MAX; i++)
+/* Buckets hold no more than what the smaller share lets them hold. */
+static void
+settle_all (struct eel_cap_holder *holder, uint32_t index, double share)
+{
+  for (uint32_t i = 0; i < holder->used_count; i++)
     {
-      struct eel_cap_bucket *bucket = &holder->buckets[i];
+      struct eel_cap_bucket *bucket = &holder->buckets[holder->used[i]];
 
-      if (bucket->team != 0 && bucket->group == group
-          && bucket->tokens > bucket->capacity * share)
-        bucket->tokens = bucket->capacity * share;
+      if (bucket->group == index)
+        settle (&holder->groups[index], bucket, share);
     }
 }
 
@@ -114,14 +127,14 @@
   group->share = share_heard (holder->view, group, now_us);
   group->filled_s += elapsed_s * fmin (before, group->share);
   group->updated_us = now_us;
-  if (group->share < before)
-    clip_buckets (holder, index);
-  if (group->share < group->share_max * SHARE_KEPT)
+  if (group->share != before)
+    settle_all (holder, index, fmin (before, group->share));
+  if (group->share < group->since_share * SHARE_KEPT
+      || group->share * SHARE_KEPT > group->since_share)
     {
       group->since_s = group->filled_s;
-      group->share_max = group->share;
+      group->since_share = group->share;
     }
-  group->share_max = fmax (group->share_max, group->share);
 }
 
 void
@@ -211,6 +224,8 @@
   if (bucket->team == team)
     return bucket;
   holder->evicted += (uint64_t)evicted;
+  if (!evicted)
+    holder->used[holder->used_count++] = (uint16_t)(bucket - holder->buckets);
   if (evicted)
     holder->groups[group].since_s = holder->groups[group].filled_s;
   *bucket = (struct eel_cap_bucket){
@@ -229,14 +244,10 @@
   double margin = 1 + holder->tolerance.overshoot * RATE_MARGIN;
   double idle_s = (double)(now_us - bucket->used_us) / EEL_US_PER_S;
 
+  bucket->rate_per_s = limits->rate_per_s * margin;
   bucket->capacity = fmax (limits->burst, 1) * margin
                      + holder->tolerance.slack * SLACK_MARGIN;
-  bucket->tokens
-      = fmin (bucket->tokens
-                  + limits->rate_per_s * margin
-                        * (group->filled_s - bucket->filled_s),
-              bucket->capacity * group->share);
-  bucket->filled_s = group->filled_s;
+  settle (group, bucket, group->share);
   bucket->unmet *= exp (-idle_s / UNMET_DECAY_S);
   bucket->used_us = now_us;
 }
