Space asks of a node whose holders are not ready

When every candidate answered that it was not ready, nodes asked one another without a pause and did nothing else: relay_caps.WithoutAHolder never ended. Requests that wait when the last cap is lifted are served at once.

--- a/include/eelgrasslatch/team_cap.h
+++ b/include/eelgrasslatch/team_cap.h
@@ -262,6 +262,8 @@
   int64_t missed_us;
   uint32_t probed;
   int64_t current_since_us;
+  /* It has not heard from this node yet. */
+  uint8_t is_new;
   int64_t sent_us;
   int64_t probed_us;
   struct eel_cap_sent sent[EEL_CAP_SENT_MAX];
--- a/src/admission/cap_asker.c
+++ b/src/admission/cap_asker.c
@@ -23,8 +23,9 @@
   asker->current = candidate;
   asker->current_since_us = now_us;
   asker->misses = 0;
-  /* The new one shall hear from this node at once. */
-  asker->sent_us = now_us - HEARTBEAT_US;
+  /* Candidates of which none is ready are not asked in a loop. */
+  asker->is_new = 1;
+  asker->sent_us = now_us;
 }
 
 /* Goes on with the present holder unless the new list begins with another. */
@@ -146,8 +147,8 @@
   return sent;
 }
 
-/* Collects what the pending teams of a group want; those of which no request waits
-   are pending no longer. */
+/* Collects what the pending teams of a group want; those of which no request
+   waits are pending no longer. */
 static uint32_t
 collect_asks (struct eel_team_cap *cap,
               uint32_t group,
@@ -220,6 +221,12 @@
   return 1;
 }
 
+static int64_t
+heartbeat_interval_us (const struct eel_cap_asker *asker)
+{
+  return asker->is_new ? ASK_INTERVAL_US : HEARTBEAT_US;
+}
+
 static int
 ask (struct eel_team_cap *cap,
      uint32_t group,
@@ -228,8 +235,8 @@
      struct eel_cap_ask_message *message)
 {
   struct eel_cap_asker *asker = &cap->askers[group];
-  int heartbeat
-      = cap->is_witness && now_us - asker->sent_us >= HEARTBEAT_US;
+  int heartbeat = cap->is_witness
+                  && now_us - asker->sent_us >= heartbeat_interval_us (asker);
   struct eel_cap_ask asks[EEL_CAP_ENTRIES_MAX];
   struct eel_cap_sent *sent;
   uint32_t count;
@@ -244,6 +251,7 @@
   memcpy (sent->asks, asks, count * sizeof asks[0]);
   sent->count = count;
   asker->sent_us = now_us;
+  asker->is_new = 0;
   fill_message (cap, group, sent, message);
   *to = asker->candidates[asker->current];
   return 1;
@@ -274,14 +282,19 @@
     for (uint32_t j = 0; j < EEL_CAP_SENT_MAX; j++)
       if (cap->askers[i].sent[j].open)
         {
-          int64_t left_us = cap->askers[i].sent[j].sent_us + ANSWER_TIMEOUT_US
-                            - now_us;
+          int64_t left_us
+              = cap->askers[i].sent[j].sent_us + ANSWER_TIMEOUT_US - now_us;
 
           if (left_us < due_us)
             due_us = left_us;
         }
   for (uint32_t i = 0; i < cap->group_count && cap->is_witness; i++)
-    if (cap->askers[i].sent_us + HEARTBEAT_US - now_us < due_us)
-      due_us = cap->askers[i].sent_us + HEARTBEAT_US - now_us;
+    {
+      int64_t left_us = cap->askers[i].sent_us - now_us
+                        + heartbeat_interval_us (&cap->askers[i]);
+
+      if (left_us < due_us)
+        due_us = left_us;
+    }
   return due_us > EEL_US_PER_MS ? due_us : EEL_US_PER_MS;
 }
--- a/src/admission/cap_message.c
+++ b/src/admission/cap_message.c
@@ -121,8 +121,8 @@
   at += put (bytes + at, message->full ? 0 : message->count, 1);
   for (uint32_t i = 0; i < message->count && !message->full; i++)
     {
-      int64_t wait_ms = (message->grants[i].wait_us + EEL_US_PER_MS - 1)
-                        / EEL_US_PER_MS;
+      int64_t wait_ms
+          = (message->grants[i].wait_us + EEL_US_PER_MS - 1) / EEL_US_PER_MS;
 
       at += put_tokens (bytes + at, message->grants[i].tokens);
       at += put (bytes + at,
--- a/src/admission/cap_view.c
+++ b/src/admission/cap_view.c
@@ -88,8 +88,8 @@
       view->nodes[kept++] = view->nodes[i];
   view->count = kept;
   view->group_count = eel_cap_group_count (kept);
-  view->witness_count = find_best (view, WITNESS_SEED, view->witnesses,
-                                   EEL_CAP_WITNESSES_MAX);
+  view->witness_count
+      = find_best (view, WITNESS_SEED, view->witnesses, EEL_CAP_WITNESSES_MAX);
 }
 
 int
--- a/src/admission/team_cap_holder.c
+++ b/src/admission/team_cap_holder.c
@@ -44,8 +44,7 @@
 copy_witnesses (struct eel_cap_holder *holder)
 {
   holder->witness_count = holder->view->witness_count;
-  memcpy (holder->witnesses, holder->view->witnesses,
-          sizeof holder->witnesses);
+  memcpy (holder->witnesses, holder->view->witnesses, sizeof holder->witnesses);
 }
 
 void
@@ -95,10 +94,10 @@
         struct eel_cap_bucket *bucket,
         double share)
 {
-  bucket->tokens = fmin (bucket->tokens
-                             + bucket->rate_per_s
-                                   * (group->filled_s - bucket->filled_s),
-                         bucket->capacity * share);
+  bucket->tokens
+      = fmin (bucket->tokens
+                  + bucket->rate_per_s * (group->filled_s - bucket->filled_s),
+              bucket->capacity * share);
   bucket->filled_s = group->filled_s;
 }
 
--- a/src/error/error.c
+++ b/src/error/error.c
@@ -103,8 +103,8 @@
   [EEL_ERROR_TEAMS_OUTDATED]
   = { "teams_outdated", 503, REFUSED, SAME, 500,
       "the node can't tell which keys are in force at present" },
-  [EEL_ERROR_TEAM_CAP] = { "team_cap", 429, REFUSED, SAME, 1000,
-                           "the team has used up its cap" },
+  [EEL_ERROR_TEAM_CAP]
+  = { "team_cap", 429, REFUSED, SAME, 1000, "the team has used up its cap" },
   [EEL_ERROR_CAP_UNKNOWN]
   = { "cap_unknown", 503, REFUSED, SAME, 500,
       "no node could tell whether the team is within its cap" },
--- a/src/relay/caps.c
+++ b/src/relay/caps.c
@@ -274,9 +274,13 @@
     return;
   relay->caps->in_force = (uint8_t)in_force;
   if (in_force)
-    eel_caps_run (relay->caps);
-  else
-    event_del (relay->caps->timer);
+    {
+      eel_caps_run (relay->caps);
+      return;
+    }
+  event_del (relay->caps->timer);
+  /* Nothing is waited for any more. */
+  eel_caps_serve_waiting (relay->caps, eel_clock_us ());
 }
 
 void
@@ -290,8 +294,8 @@
   if (caps == NULL)
     return;
   /* A draining endpoint's node serves callers until it stops. */
-  for (uint32_t i = 0;
-       i < relay->directory.count && count < EEL_CAP_NODES_MAX; i++)
+  for (uint32_t i = 0; i < relay->directory.count && count < EEL_CAP_NODES_MAX;
+       i++)
     if (relay->directory.instances[i].state != EEL_INSTANCE_REMOVED)
       nodes[count++] = relay->directory.instances[i].ip;
   view = calloc (1, sizeof *view);
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -103,8 +103,9 @@
   int64_t now_us = eel_clock_us ();
   int64_t after_us = status == 503 ? retry_after_us (entry) : 0;
 
-  eel_metric_add (
-      status == 503 || status == 429 ? relay->counters.refused : relay->counters.failed, 1);
+  eel_metric_add (status == 503 || status == 429 ? relay->counters.refused
+                                                 : relay->counters.failed,
+                  1);
   g_message (
       "event=not_served request=%s error=%s status=%u service=%s "
       "rank=%u tried=%u arrivals=%u may_have_run=%u "
--- a/src/relay/entry_cap.c
+++ b/src/relay/entry_cap.c
@@ -121,11 +121,11 @@
 eel_entry_cap_wait_us (struct eel_entry *entry)
 {
   struct eel_relay *relay = entry->relay;
-  int64_t wait_us = eel_team_cap_wait_us (
-      &relay->caps->cap, entry->call.team_id, eel_clock_us ());
+  int64_t wait_us = eel_team_cap_wait_us (&relay->caps->cap,
+                                          entry->call.team_id, eel_clock_us ());
 
-  wait_us += (int64_t)(eel_rng_unit (&relay->rng) * RETRY_JITTER
-                       * (double)wait_us);
+  wait_us
+      += (int64_t)(eel_rng_unit (&relay->rng) * RETRY_JITTER * (double)wait_us);
   if (wait_us < RETRY_MIN_US)
     return RETRY_MIN_US;
   return wait_us < RETRY_MAX_US ? wait_us : RETRY_MAX_US;
--- a/tests/unit/test_parser_fuzz.cc
+++ b/tests/unit/test_parser_fuzz.cc
@@ -5,6 +5,7 @@
 
 extern "C"
 {
+#include "eelgrasslatch/cap_message.h"
 #include "eelgrasslatch/preset.h"
 #include "internal/settings.h"
 #include "platform/feed.h"
@@ -348,3 +349,43 @@
     }
   unlink (path.c_str ());
 }
+
+// Datagrams about caps: what is taken stays within the bounds of a message.
+TEST (ParserFuzz, CapMessages)
+{
+  mutator mutate (17);
+  struct eel_cap_ask_message ask = {};
+  struct eel_cap_grant_message grants = {};
+  uint8_t bytes[EEL_CAP_MESSAGE_BYTES_MAX];
+
+  ask.group_count = 4;
+  ask.group = 3;
+  ask.count = grants.count = 5;
+  for (uint32_t i = 0; i < 5; i++)
+    {
+      ask.asks[i] = { i * UINT64_C (0x123456789), i * 100 };
+      grants.grants[i] = { i * 100, i * EEL_US_PER_S };
+    }
+  for (int i = 0; i < STEPS; i++)
+    {
+      size_t length = i % 2 == 0 ? eel_cap_ask_encode (&ask, bytes)
+                                 : eel_cap_grant_encode (&grants, bytes);
+      std::string text
+          = mutate (std::string (reinterpret_cast<char *> (bytes), length));
+      auto *data = reinterpret_cast<const uint8_t *> (text.data ());
+      struct eel_cap_ask_message ask_back;
+      struct eel_cap_grant_message grants_back;
+
+      if (eel_cap_ask_decode (data, text.size (), &ask_back))
+        {
+          EXPECT_LE (ask_back.count, (uint32_t)EEL_CAP_ENTRIES_MAX);
+          EXPECT_LT (ask_back.group, ask_back.group_count);
+          EXPECT_LE (ask_back.group_count, (uint32_t)EEL_CAP_GROUPS_MAX);
+        }
+      if (eel_cap_grant_decode (data, text.size (), &grants_back))
+        {
+          EXPECT_LE (grants_back.count, (uint32_t)EEL_CAP_ENTRIES_MAX);
+          EXPECT_LT (grants_back.group, (uint32_t)EEL_CAP_GROUPS_MAX);
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/test_relay_caps.cc
@@ -0,0 +1,294 @@
+#include <cstring>
+#include <gtest/gtest.h>
+
+#include "relay_cluster.h"
+
+extern "C"
+{
+#include "eelgrasslatch/cap_message.h"
+#include "relay/caps.h"
+}
+
+// Three nodes with an upstream each.  Team a may use 20 requests a second and
+// 10 at once, team b has no cap.
+struct relay_caps : public ::testing::Test
+{
+  relay_cluster cluster{ 3 };
+
+  relay_caps ()
+  {
+    cluster.set_routes ();
+    for (size_t at = 0; at < 3; at++)
+      cluster.list_upstream (at, 50);
+    for (size_t at = 0; at < 3; at++)
+      set_cap (at, 20, 10);
+  }
+
+  static void
+  add (struct eel_team_table *table,
+       const char *name,
+       const char *key,
+       double rate,
+       double burst)
+  {
+    struct eel_team team = {};
+    int32_t index;
+
+    team.name = const_cast<char *> (name);
+    team.rate_per_s = rate;
+    team.burst = burst;
+    index = eel_team_table_add (table, &team);
+    eel_team_table_add_key (table, (uint32_t)index, key, strlen (key));
+  }
+
+  void
+  set_cap (size_t at, double rate, double burst)
+  {
+    const uint8_t secret[EEL_TEAM_SECRET_BYTES] = { 1 };
+    auto *table = static_cast<struct eel_team_table *> (
+        calloc (1, sizeof (struct eel_team_table)));
+
+    eel_team_table_init (table, 1, secret);
+    add (table, "a", "ka", rate, burst);
+    add (table, "b", "kb", 0, 0);
+    eel_team_table_seal (table);
+    eel_relay_set_teams (&cluster.nodes[at]->relay, table);
+  }
+
+  struct eel_caps *
+  caps (size_t at)
+  {
+    return cluster.nodes[at]->relay.caps;
+  }
+
+  std::string
+  send (size_t at, const std::string &key = "ka")
+  {
+    return cluster.send_request (
+        request_text ("GET", "/safe/x", "r1",
+                      "Authorization: Bearer " + key + "\r\n"),
+        at);
+  }
+
+  // The node that is asked for caps at present.
+  size_t
+  holder ()
+  {
+    for (size_t at = 0; at < 3; at++)
+      if (caps (at)->holder.granted > 0)
+        return at;
+    return 3;
+  }
+
+  size_t
+  arrivals ()
+  {
+    size_t sum = 0;
+
+    for (auto &node : cluster.nodes)
+      sum += node->upstream.requests.size ();
+    return sum;
+  }
+};
+
+// Guards against caps that hold at each node by itself.
+TEST_F (relay_caps, CapHoldsOverAllNodes)
+{
+  size_t served = 0;
+  size_t over = 0;
+
+  cluster.run_ms (1500);
+  for (size_t i = 0; i < 60; i++)
+    {
+      std::string answer = send (i % 3);
+
+      if (status_of (answer) == "200")
+        served++;
+      else
+        {
+          over++;
+          EXPECT_EQ (status_of (answer), "429");
+          EXPECT_GE (std::stod (field_of (answer, "Retry-After")), 0.1);
+        }
+    }
+  EXPECT_EQ (arrivals (), served);
+  // A burst of 10 and the tolerance that buckets use.
+  EXPECT_GE (served, 10u);
+  EXPECT_GT (over, 0u);
+  EXPECT_NE (holder (), 3u);
+  EXPECT_GT (cluster.nodes[0]->relay.caps->counters.refused->value
+                 + cluster.nodes[1]->relay.caps->counters.refused->value
+                 + cluster.nodes[2]->relay.caps->counters.refused->value,
+             0u);
+}
+
+TEST_F (relay_caps, TeamsWithoutACapAreNotLimited)
+{
+  for (size_t i = 0; i < 60; i++)
+    EXPECT_EQ (status_of (send (i % 3, "kb")), "200");
+  EXPECT_EQ (holder (), 3u);
+}
+
+TEST_F (relay_caps, LostHolderIsReplaced)
+{
+  size_t lost;
+  bool served = false;
+
+  cluster.run_ms (1000);
+  for (size_t at = 0; at < 3; at++)
+    EXPECT_EQ (status_of (send (at)), "200");
+  lost = holder ();
+  ASSERT_NE (lost, 3u);
+  event_del (caps (lost)->readable);
+  event_del (caps (lost)->timer);
+  caps (lost)->in_force = 0;
+  cluster.run_ms (1000);
+  for (size_t i = 0; i < 30 && !served; i++)
+    {
+      served = status_of (send ((lost + 1) % 3)) == "200";
+      cluster.run_ms (50);
+    }
+  EXPECT_TRUE (served);
+  EXPECT_GT (caps ((lost + 1) % 3)->cap.holders_lost, 0u);
+}
+
+// Guards against requests that run because nobody could say that they may not.
+TEST_F (relay_caps, WithoutAHolderRequestsAreRefusedUnrun)
+{
+  std::string answer;
+
+  for (size_t at = 0; at < 3; at++)
+    caps (at)->relay->stopping = 1;
+  answer = send (0);
+  EXPECT_EQ (status_of (answer), "503");
+  EXPECT_NE (field_of (answer, "Retry-After"), "");
+  EXPECT_EQ (arrivals (), 0u);
+  EXPECT_EQ (caps (0)->waiting.length, 0u);
+  EXPECT_EQ (caps (0)->cap.teams != nullptr, true);
+}
+
+TEST_F (relay_caps, CallerThatLeavesWhileItWaitsIsForgotten)
+{
+  for (size_t at = 0; at < 3; at++)
+    caps (at)->relay->stopping = 1;
+  {
+    auto conn = cluster.connect (0);
+
+    raw_upstream::write (*conn, request_text ("GET", "/safe/x", "r1",
+                                              "Authorization: Bearer ka\r\n"));
+    ASSERT_TRUE (
+        cluster.run_until ([this] { return caps (0)->waiting.length == 1; }));
+    bufferevent_free (conn->bev);
+    conn->bev = nullptr;
+  }
+  EXPECT_TRUE (
+      cluster.run_until ([this] { return caps (0)->waiting.length == 0; }));
+  EXPECT_EQ (caps (0)->cap.pending_count, 1u);
+  EXPECT_EQ (arrivals (), 0u);
+}
+
+TEST_F (relay_caps, StopWhileRequestsWaitAnswersThem)
+{
+  std::string request
+      = request_text ("GET", "/safe/x", "r1", "Authorization: Bearer ka\r\n");
+
+  for (size_t at = 0; at < 3; at++)
+    caps (at)->relay->stopping = 1;
+  auto conn = cluster.connect (0);
+
+  raw_upstream::write (*conn, request + request);
+  ASSERT_TRUE (
+      cluster.run_until ([this] { return caps (0)->waiting.length > 0; }));
+  eel_relay_end_open (&cluster.nodes[0]->relay);
+  EXPECT_EQ (caps (0)->waiting.length, 0u);
+  EXPECT_TRUE (
+      cluster.run_until ([&conn] { return status_of (conn->in) == "503"; }));
+  bufferevent_free (conn->bev);
+  conn->bev = nullptr;
+}
+
+// A body is read while its request waits, and passed on whole.
+TEST_F (relay_caps, BodyOfARequestThatWaitsArrivesWhole)
+{
+  std::string body (60000, 'x');
+  std::string answer;
+
+  cluster.run_ms (1000);
+  answer = cluster.send_request (request_text (
+      "POST", "/once/x", "r1", "Authorization: Bearer ka\r\n", body));
+  EXPECT_EQ (status_of (answer), "200");
+  ASSERT_EQ (arrivals (), 1u);
+  for (auto &node : cluster.nodes)
+    for (const std::string &request : node->upstream.requests)
+      EXPECT_EQ (body_of (request), body);
+}
+
+TEST_F (relay_caps, PipelinedRequestsOfTwoTeamsAreToldApart)
+{
+  std::string requests;
+
+  cluster.run_ms (1000);
+  auto conn = cluster.connect (0);
+
+  for (int i = 0; i < 40; i++)
+    requests += request_text ("GET", "/safe/x", "r" + std::to_string (i),
+                              i % 2 == 0 ? "Authorization: Bearer ka\r\n"
+                                         : "Authorization: Bearer kb\r\n");
+  raw_upstream::write (*conn, requests);
+  auto count = [&conn] (const std::string &text) {
+    size_t found = 0;
+
+    for (size_t at = 0; (at = conn->in.find (text, at)) != std::string::npos;
+         at++)
+      found++;
+    return found;
+  };
+
+  EXPECT_TRUE (cluster.run_until ([&count] {
+    return count ("HTTP/1.1 200") + count ("HTTP/1.1 429") == 40;
+  }));
+  EXPECT_GE (count ("HTTP/1.1 200"), 30u);
+  bufferevent_free (conn->bev);
+  conn->bev = nullptr;
+}
+
+TEST_F (relay_caps, LiftedCapLetsWaitingRequestsPass)
+{
+  for (size_t at = 0; at < 3; at++)
+    caps (at)->relay->stopping = 1;
+  auto conn = cluster.connect (0);
+
+  raw_upstream::write (*conn, request_text ("GET", "/safe/x", "r1",
+                                            "Authorization: Bearer ka\r\n"));
+  ASSERT_TRUE (
+      cluster.run_until ([this] { return caps (0)->waiting.length == 1; }));
+  set_cap (0, 0, 0);
+  EXPECT_TRUE (
+      cluster.run_until ([&conn] { return status_of (conn->in) == "200"; }));
+  bufferevent_free (conn->bev);
+  conn->bev = nullptr;
+}
+
+// Guards against datagrams of others and of wrong form.
+TEST_F (relay_caps, StrangeDatagramsAreDropped)
+{
+  struct sockaddr_in to = cluster.nodes[0]->relay.config.caps;
+  struct sockaddr_in from = to;
+  struct eel_cap_ask_message ask = {};
+  uint8_t bytes[EEL_CAP_MESSAGE_BYTES_MAX * 2] = {};
+  size_t length;
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  ask.group_count = 1;
+  ask.active = 1;
+  length = eel_cap_ask_encode (&ask, bytes);
+  inet_pton (AF_INET, "127.0.0.77", &from.sin_addr);
+  ASSERT_EQ (
+      bind (fd, reinterpret_cast<struct sockaddr *> (&from), sizeof from), 0);
+  for (size_t bytes_sent : { length, length - 1, sizeof bytes, (size_t)0 })
+    sendto (fd, bytes, bytes_sent, 0, reinterpret_cast<struct sockaddr *> (&to),
+            sizeof to);
+  close (fd);
+  EXPECT_TRUE (cluster.run_until (
+      [this] { return caps (0)->counters.dropped->value == 4; }));
+}
