--- a/src/relay/caps_report.c
+++ b/src/relay/caps_report.c
@@ -133,7 +133,7 @@
 
   if (metric == NULL)
     return;
-  for (; name[length] != 0 && length < sizeof safe - 1; length++)
+  for (; length < sizeof safe - 1 && name[length] != 0; length++)
     safe[length] = name[length] == '"' || name[length] == '\\'
                            || (unsigned char)name[length] < ' '
                        ? '_'
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -70,6 +70,8 @@
 /* Goes on with a request that is within the cap of its team.  May free the
    entry. */
 void eel_entry_admit (struct eel_entry *entry);
+/* Offers the request to an endpoint for the first time.  May free the entry. */
+void eel_entry_place (struct eel_entry *entry);
 /* Offers the request to the next endpoint; answers with if_none when none is
    left.  May free the entry. */
 void eel_entry_next (struct eel_entry *entry, enum eel_error if_none);
