--- a/src/relay/caps.c
+++ b/src/relay/caps.c
@@ -70,7 +70,8 @@
 {
   *reply = (struct eel_cap_grant_message){ .seq = message->seq,
                                            .group = message->group };
-  if (caps->relay->teams != NULL && !caps->relay->stopping)
+  if (caps->relay->teams != NULL && !caps->relay->stopping
+      && !eel_relay_teams_outdated (caps->relay, eel_clock_us ()))
     eel_cap_holder_answer (&caps->holder, from, message, find_limits,
                            caps->relay->teams, eel_clock_us (), reply);
 }
--- a/src/relay/caps.h
+++ b/src/relay/caps.h
@@ -20,8 +20,6 @@
 
 /* Teams whose limiting is told by a line of their own. */
 #define EEL_CAPS_LIMITED_MAX 16
-/* Teams with counters of their own, those with the most requests. */
-#define EEL_CAPS_COUNTED_MAX 12
 
 /* A team that has met its cap here lately. */
 struct eel_caps_limited
@@ -43,9 +41,6 @@
   struct eel_metric *holders_lost;
   struct eel_metric *granted;
   struct eel_metric *share;
-  /* The last ones are those of all other teams together. */
-  struct eel_metric *admitted_of[EEL_CAPS_COUNTED_MAX + 1];
-  struct eel_metric *refused_of[EEL_CAPS_COUNTED_MAX + 1];
 };
 
 struct eel_caps
--- a/src/relay/caps_report.c
+++ b/src/relay/caps_report.c
@@ -1,6 +1,4 @@
 #include <inttypes.h>
-#include <stdio.h>
-#include <string.h>
 
 #include "internal/task.h"
 #include "relay/caps.h"
@@ -9,23 +7,6 @@
 /* A team is limited until no request of it was refused for so long. */
 #define LIMIT_END_US (5 * EEL_US_PER_S)
 #define REPORT_INTERVAL_US (1 * EEL_US_PER_S)
-/* Of a team's name in a label. */
-#define LABEL_NAME_MAX 64
-
-static struct eel_metric *
-team_counter (struct eel_metrics *metrics,
-              const char *name,
-              uint32_t slot,
-              const char *help)
-{
-  char labels[EEL_METRIC_LABELS_MAX];
-
-  if (slot == EEL_CAPS_COUNTED_MAX)
-    snprintf (labels, sizeof labels, "others=\"1\"");
-  else
-    snprintf (labels, sizeof labels, "slot=\"%u\",team=\"\"", slot);
-  return eel_metrics_get (metrics, EEL_METRIC_COUNTER, name, labels, help);
-}
 
 void
 eel_caps_init_counters (struct eel_caps *caps, struct eel_metrics *metrics)
@@ -53,15 +34,6 @@
   METRIC (share, EEL_METRIC_GAUGE, "eel_caps_heard_milli",
           "Share of nodes that ask this one, in thousandths.");
 #undef METRIC
-  for (uint32_t i = 0; i <= EEL_CAPS_COUNTED_MAX; i++)
-    {
-      counters->admitted_of[i]
-          = team_counter (metrics, "eel_team_admitted_total", i,
-                          "Requests of a team within its cap.");
-      counters->refused_of[i]
-          = team_counter (metrics, "eel_team_refused_total", i,
-                          "Requests of a team over its cap.");
-    }
 }
 
 static const char *
@@ -124,79 +96,6 @@
     }
 }
 
-/* Quotes and backslashes would end the label. */
-static void
-label_team (struct eel_metric *metric, uint32_t slot, const char *name)
-{
-  char safe[LABEL_NAME_MAX];
-  size_t length = 0;
-
-  if (metric == NULL)
-    return;
-  for (; length < sizeof safe - 1 && name[length] != 0; length++)
-    safe[length] = name[length] == '"' || name[length] == '\\'
-                           || (unsigned char)name[length] < ' '
-                       ? '_'
-                       : name[length];
-  safe[length] = 0;
-  snprintf (metric->labels, sizeof metric->labels, "slot=\"%u\",team=\"%s\"",
-            slot, safe);
-}
-
-static uint64_t
-use_of (const struct eel_cap_team *team)
-{
-  return team->admitted + team->refused;
-}
-
-/* Finds the teams with the most requests, in descending order. */
-static uint32_t
-find_largest (const struct eel_caps *caps, const struct eel_cap_team **largest)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < EEL_CAP_TEAMS_MAX; i++)
-    {
-      const struct eel_cap_team *team = &caps->cap.teams[i];
-      uint32_t at = count;
-
-      if (team->team == EEL_NO_TEAM || use_of (team) == 0)
-        continue;
-      if (count < EEL_CAPS_COUNTED_MAX)
-        count++;
-      else if (use_of (largest[--at]) >= use_of (team))
-        continue;
-      for (; at > 0 && use_of (largest[at - 1]) < use_of (team); at--)
-        largest[at] = largest[at - 1];
-      largest[at] = team;
-    }
-  return count;
-}
-
-static void
-report_teams (struct eel_caps *caps)
-{
-  const struct eel_cap_team *largest[EEL_CAPS_COUNTED_MAX];
-  struct eel_caps_counters *counters = &caps->counters;
-  uint64_t admitted = caps->cap.admitted;
-  uint64_t refused = caps->cap.refused;
-  uint32_t count = find_largest (caps, largest);
-
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const char *name = team_name (caps, largest[i]->team);
-
-      label_team (counters->admitted_of[i], i, name);
-      label_team (counters->refused_of[i], i, name);
-      eel_metric_set (counters->admitted_of[i], largest[i]->admitted);
-      eel_metric_set (counters->refused_of[i], largest[i]->refused);
-      admitted -= largest[i]->admitted;
-      refused -= largest[i]->refused;
-    }
-  eel_metric_set (counters->admitted_of[EEL_CAPS_COUNTED_MAX], admitted);
-  eel_metric_set (counters->refused_of[EEL_CAPS_COUNTED_MAX], refused);
-}
-
 void
 eel_caps_report (struct eel_caps *caps, int64_t now_us)
 {
@@ -204,7 +103,6 @@
     return;
   caps->reported_us = now_us;
   report_limited (caps, now_us);
-  report_teams (caps);
   eel_metric_set (caps->counters.waiting, caps->waiting.length);
   eel_metric_set (caps->counters.holders_lost, caps->cap.holders_lost);
   eel_metric_set (caps->counters.granted, caps->holder.granted);
--- a/src/relay/entry_admit.c
+++ b/src/relay/entry_admit.c
@@ -46,6 +46,8 @@
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
       return;
     }
+  eel_team_use_count (&relay->team_use, entry->call.team_id, entry->team,
+                      EEL_TEAM_USE_ADMITTED);
   entry->held_back = awaits_body && entry->call.fingerprint == 0
                      && eel_crash_suspects_bodies (relay);
   if (!awaits_body)
--- a/src/relay/entry_cap.c
+++ b/src/relay/entry_cap.c
@@ -44,6 +44,8 @@
 
   if (wait_us > 0)
     {
+      eel_team_use_count (&entry->relay->team_use, entry->call.team_id,
+                          entry->team, EEL_TEAM_USE_OVER_CAP);
       eel_caps_count_refused (caps, entry->call.team_id, wait_us, now_us);
       eel_entry_answer_error (entry, EEL_ERROR_TEAM_CAP);
     }
