--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -16,6 +16,7 @@
 #include "eelgrasslatch/run_times.h"
 #include "eelgrasslatch/team_table.h"
 #include "eelgrasslatch/team_use.h"
+#include "eelgrasslatch/team_cap.h"
 #include "internal/metrics.h"
 #include "relay/domain_traffic.h"
 #include "relay/pool.h"
@@ -94,6 +95,11 @@
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
   struct eel_domain_flow_config domain_flow;
+  /* Where nodes exchange messages about caps, on every VM at the same port; 0:
+     none. */
+  struct sockaddr_in caps;
+  /* What windows may exceed the caps of teams by. */
+  struct eel_cap_tolerance cap_tolerance;
 };
 
 struct eel_relay_counters
@@ -150,6 +156,9 @@
   int64_t outdated_since_us;
   uint64_t outdated_refused;
   struct eel_team_use team_use;
+  /* NULL until a configuration has a team with a cap. */
+  struct eel_caps *caps;
+  struct eel_metrics *metrics;
   struct eel_directory directory;
   struct eel_gate gate;
   /* Of this node's endpoint. */
