Refuse what waits in the gate's queue by a timer before its deadline

They were looked at only by the timer of the next start, after their deadline, and by the tick of 100 ms, while the time for a refusal was half of the mean hold time (22 ms, less with short runs). So most got 504, outcome unknown, for a request that had not run. A fault of the product: more requests that are more important, or a limit that falls, do the same.

The gate tells when it has to be asked next: a start by the rate, or the first expiry, which leaves at least 20 ms, or a tenth of a short request, for the refusal's way. The timer is set when a request is queued too, not only by the next completion or tick, and for the same time as the look at the queue: before, a token that was earned between the two left no timer.

Tests: Gate.RefusesWhatExpiresWithTimeForTheWay asks the gate only at the times that it names, in virtual time; relay_limit_test.QueuedRequestIsRefusedBeforeIts- Deadline compares the timer with the deadline. With the expiry left out of the time the first fails, the second too, and without the timer at queueing the second.

RequestsBeyondTheLimitAreRefusedTruthfully had to have 200 or 503 for each of 31 requests by the wall clock, of which some wait up to 2 s, and up to 6 runs. Now the limit is 0, with one request at once and none within the time of a request, and it demands at most two runs, 200 for each run and 503 for all others: stricter, and nothing waits. What it covered of waiting requests is in the two tests above. GateStartsByRankAsTheLimitAllows calls the function by its new name.

--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -84,8 +84,8 @@
 
 /* Expected wait of a request of the least important rank that arrives now. */
 int64_t eel_gate_wait_us (const struct eel_gate *gate, int64_t now_us);
-/* Time until a queued request may start although no slot becomes free; 0: that
-   is not what it waits for. */
-int64_t eel_gate_next_start_us (const struct eel_gate *gate, int64_t now_us);
+/* Time until eel_gate_next has to be called although no slot becomes free: a
+   queued request may start by its rate then, or expires.  0: none is queued. */
+int64_t eel_gate_next_change_us (const struct eel_gate *gate, int64_t now_us);
 
 #endif
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -14,6 +14,11 @@
 /* Share of a request's slack, up to its target or deadline, that its expected
  * wait may take. */
 #define WAIT_PERCENT 60
+/* Time for a refusal to reach the caller's node before its deadline there: two
+ * ways between VMs and the turns of both event loops.  Of a short request it is
+ * at most a share. */
+#define REFUSAL_WAY_US (20 * EEL_US_PER_MS)
+#define REFUSAL_WAY_PERCENT_MAX 10
 
 void
 eel_gate_init (struct eel_gate *gate, uint32_t slots)
@@ -96,14 +101,6 @@
   return expected_wait_us (gate, gate->queued, now_us);
 }
 
-int64_t
-eel_gate_next_start_us (const struct eel_gate *gate, int64_t now_us)
-{
-  return gate->queued == 0 || gate->running >= gate->limit
-             ? 0
-             : eel_rate_limit_wait_us (&gate->rate, 0, now_us);
-}
-
 /*
  * Returns the longest expected wait at which an arriving item is queued.  Only
  * the least important rank has to meet its target; the others have until their
@@ -166,15 +163,21 @@
 }
 
 /*
- * Returns true when less than half of the mean hold time is left before the
- * deadline: the item would probably complete late and waste its slot.
+ * Returns when a queued item expires: with less than half of the mean hold time
+ * left before the deadline it would probably complete late and waste its slot,
+ * and a refusal has to arrive before the deadline too.
  */
-static int
-is_expired (const struct eel_gate *gate,
-            const struct eel_gate_item *item,
-            int64_t now_us)
+static int64_t
+expiry_us (const struct eel_gate *gate, const struct eel_gate_item *item)
 {
-  return item->deadline_us - now_us < (int64_t)(gate->hold_us / 2);
+  int64_t total_us = item->deadline_us - item->arrived_us;
+  int64_t before_us = total_us * REFUSAL_WAY_PERCENT_MAX / 100;
+
+  if (before_us > REFUSAL_WAY_US)
+    before_us = REFUSAL_WAY_US;
+  if (before_us < (int64_t)(gate->hold_us / 2))
+    before_us = (int64_t)(gate->hold_us / 2);
+  return item->deadline_us - before_us;
 }
 
 /* Expired items are returned first, whatever their rank. */
@@ -188,7 +191,7 @@
   if (gate->queued == 0)
     return EEL_GATE_QUEUE;
   for (uint32_t i = 0; i < gate->queued; i++)
-    if (is_expired (gate, &gate->queue[i], now_us))
+    if (now_us > expiry_us (gate, &gate->queue[i]))
       {
         remove_item (gate, i, item);
         gate->refused++;
@@ -207,6 +210,27 @@
   return EEL_GATE_START;
 }
 
+int64_t
+eel_gate_next_change_us (const struct eel_gate *gate, int64_t now_us)
+{
+  int64_t next_us = INT64_MAX;
+
+  if (gate->queued == 0)
+    return 0;
+  for (uint32_t i = 0; i < gate->queued; i++)
+    if (expiry_us (gate, &gate->queue[i]) < next_us)
+      next_us = expiry_us (gate, &gate->queue[i]);
+  next_us = next_us < now_us ? 1 : next_us - now_us + 1;
+  if (gate->running < gate->limit)
+    {
+      int64_t start_us = eel_rate_limit_wait_us (&gate->rate, 0, now_us);
+
+      if (start_us > 0 && start_us < next_us)
+        next_us = start_us;
+    }
+  return next_us;
+}
+
 void
 eel_gate_done (struct eel_gate *gate, int64_t held_us, int64_t now_us)
 {
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -316,6 +316,8 @@
       return;
     case EEL_GATE_QUEUE:
       attempt->queued = 1;
+      /* Starts the timer; may refuse this one too. */
+      eel_relay_dispatch_queued (attempt->relay);
       return;
     case EEL_GATE_REFUSE:
       eel_attempt_refused (attempt);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -120,7 +120,7 @@
 }
 
 static void
-on_start_timer (evutil_socket_t fd, short what, void *data)
+on_queue_timer (evutil_socket_t fd, short what, void *data)
 {
   (void)fd;
   (void)what;
@@ -220,8 +220,8 @@
     return 0;
   eel_directory_init (&relay->directory, instances, INSTANCES_MAX);
   relay->tick = event_new (base, -1, EV_PERSIST, on_tick, relay);
-  relay->start_timer = event_new (base, -1, 0, on_start_timer, relay);
-  return relay->tick != NULL && relay->start_timer != NULL
+  relay->queue_timer = event_new (base, -1, 0, on_queue_timer, relay);
+  return relay->tick != NULL && relay->queue_timer != NULL
          && event_add (relay->tick, &tick) == 0
          && eel_server_init (&relay->callers, base, &config->callers,
                              &eel_entry_ops, relay)
@@ -240,8 +240,8 @@
   eel_crash_trial_finish (relay);
   if (relay->tick != NULL)
     event_free (relay->tick);
-  if (relay->start_timer != NULL)
-    event_free (relay->start_timer);
+  if (relay->queue_timer != NULL)
+    event_free (relay->queue_timer);
   if (relay->routes != NULL)
     {
       eel_route_table_finish (relay->routes);
@@ -369,14 +369,14 @@
 }
 
 static void
-schedule_start (struct eel_relay *relay)
+schedule_dispatch (struct eel_relay *relay, int64_t now_us)
 {
-  int64_t wait_us = eel_gate_next_start_us (&relay->gate, eel_clock_us ());
+  int64_t wait_us = eel_gate_next_change_us (&relay->gate, now_us);
   const struct timeval wait
       = { .tv_sec = wait_us / EEL_US_PER_S, .tv_usec = wait_us % EEL_US_PER_S };
 
   if (wait_us > 0)
-    event_add (relay->start_timer, &wait);
+    event_add (relay->queue_timer, &wait);
 }
 
 void
@@ -385,16 +385,20 @@
   struct eel_gate_item item;
 
   for (;;)
-    switch (eel_gate_next (&relay->gate, &item, eel_clock_us ()))
-      {
-      case EEL_GATE_START:
-        eel_attempt_admitted (item.owner);
-        break;
-      case EEL_GATE_REFUSE:
-        eel_attempt_refused (item.owner);
-        break;
-      case EEL_GATE_QUEUE:
-        schedule_start (relay);
-        return;
-      }
+    {
+      int64_t now_us = eel_clock_us ();
+
+      switch (eel_gate_next (&relay->gate, &item, now_us))
+        {
+        case EEL_GATE_START:
+          eel_attempt_admitted (item.owner);
+          break;
+        case EEL_GATE_REFUSE:
+          eel_attempt_refused (item.owner);
+          break;
+        case EEL_GATE_QUEUE:
+          schedule_dispatch (relay, now_us);
+          return;
+        }
+    }
 }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -189,8 +189,9 @@
   char reported_id[EEL_INSTANCE_ID_MAX];
   uint8_t has_reported;
   double limit_logged_per_s;
-  /* Starts requests that wait for the endpoint's limit. */
-  struct event *start_timer;
+  /* Starts or refuses requests in the gate's queue when no slot becomes free.
+   */
+  struct event *queue_timer;
   /* struct eel_pool by IPv4 address. */
   GHashTable *peer_pools;
   struct event *tick;
--- a/tests/unit/test_gate.cc
+++ b/tests/unit/test_gate.cc
@@ -75,6 +75,59 @@
   EXPECT_EQ (gate.running, 1u);
 }
 
+// Guards against a refusal that comes when the caller has given up: the node is
+// asked only at the times that it was told, by a clock that is 3 ms late.
+TEST (Gate, RefusesWhatExpiresWithTimeForTheWay)
+{
+  const struct
+  {
+    const char *name;
+    double hold_us;
+    double rate_per_s;
+    int64_t deadline_ms;
+    int64_t refused_by_ms;
+  } cases[] = {
+    { "rate, long hold", 50000, 0.25, 2000, 1978 },
+    { "rate, short hold", 500, 0.25, 2000, 1983 },
+    { "slot, long hold", 50000, EEL_RATE_UNLIMITED, 2000, 1978 },
+    { "slot, short hold", 500, EEL_RATE_UNLIMITED, 2000, 1983 },
+    { "short request", 500, EEL_RATE_UNLIMITED, 100, 93 },
+  };
+
+  for (const auto &each : cases)
+    {
+      struct eel_gate gate;
+      struct eel_gate_item next;
+      struct eel_gate_item first = item (0, 1000, 9000, 1);
+      struct eel_gate_item second
+          = item (0, each.deadline_ms, each.deadline_ms, 2);
+      int64_t now_us = 0;
+      int asked = 0;
+
+      eel_gate_init (&gate, 1);
+      gate.hold_us = each.hold_us;
+      ASSERT_EQ (eel_gate_offer (&gate, &first, 0), EEL_GATE_START);
+      ASSERT_EQ (eel_gate_offer (&gate, &second, 0), EEL_GATE_QUEUE);
+      if (each.rate_per_s >= 0)
+        {
+          eel_gate_done (&gate, -1, 0);
+          eel_rate_limit_set (&gate.rate, each.rate_per_s, 0);
+          gate.rate.tokens = 0;
+        }
+      while (eel_gate_next (&gate, &next, now_us) == EEL_GATE_QUEUE)
+        {
+          int64_t wait_us = eel_gate_next_change_us (&gate, now_us);
+
+          ASSERT_GT (wait_us, 0) << each.name;
+          ASSERT_LT (asked++, 5) << each.name;
+          now_us += wait_us + 3 * EEL_US_PER_MS;
+        }
+      EXPECT_EQ (reinterpret_cast<intptr_t> (next.owner), 2) << each.name;
+      EXPECT_EQ (gate.refused, 1u) << each.name;
+      EXPECT_LE (now_us, each.refused_by_ms * EEL_US_PER_MS + 1) << each.name;
+    }
+}
+
 // Guards against a queue entry that stays after its owner was cancelled, and
 // against removing that of another owner.
 TEST (Gate, WithdrawsOnlyTheOwnersItem)
--- a/tests/unit/test_rate_limit.cc
+++ b/tests/unit/test_rate_limit.cc
@@ -147,12 +147,12 @@
   EXPECT_EQ (eel_gate_next (&gate, &next, 0), EEL_GATE_QUEUE);
   for (intptr_t owner : { 3, 2 })
     {
-      EXPECT_EQ (eel_gate_next_start_us (&gate, now_us), 500 * EEL_US_PER_MS);
+      EXPECT_EQ (eel_gate_next_change_us (&gate, now_us), 500 * EEL_US_PER_MS);
       now_us += 500 * EEL_US_PER_MS;
       ASSERT_EQ (eel_gate_next (&gate, &next, now_us), EEL_GATE_START);
       EXPECT_EQ (reinterpret_cast<intptr_t> (next.owner), owner);
     }
-  EXPECT_EQ (eel_gate_next_start_us (&gate, now_us), 0);
+  EXPECT_EQ (eel_gate_next_change_us (&gate, now_us), 0);
   // A used up limit counts as full.
   EXPECT_GE (eel_rate_limit_use_milli (&gate.rate, 0, now_us), 900u);
 }
--- a/tests/unit/test_relay_limit.cc
+++ b/tests/unit/test_relay_limit.cc
@@ -78,16 +78,48 @@
 }
 
 // Guards against a caller who is told that a request failed, or nothing, when
-// there is no other endpoint.
+// there is no other endpoint.  The lowest limit frees nothing in the time of a
+// request, however slow the machine is.
 TEST_F (relay_limit_test, RequestsBeyondTheLimitAreRefusedTruthfully)
 {
-  lines = "Limit: 1\r\n";
+  lines = "Limit: 0\r\n";
   cluster.list_upstream (1, 50);
   ASSERT_TRUE (burst (1, "/once/first"));
   ASSERT_TRUE (burst (30, "/once/x"));
-  EXPECT_LE (arrivals (1), 6u);
+  // The limit begins with one request.
+  EXPECT_LE (arrivals (1), 2u);
   EXPECT_EQ (answered ("200"), arrivals (1));
-  EXPECT_EQ (answered ("200") + answered ("503"), conns.size ());
+  EXPECT_EQ (answered ("503"), conns.size () - arrivals (1));
+}
+
+// Guards against a request that waits in the gate's queue and is looked at
+// there only after its caller has given up.
+TEST_F (relay_limit_test, QueuedRequestIsRefusedBeforeItsDeadline)
+{
+  struct eel_relay &beside = cluster.nodes[1]->relay;
+  struct timeval due = {};
+  struct timeval now = {};
+
+  lines = "Limit: 1\r\n";
+  cluster.list_upstream (1, 50);
+  ASSERT_TRUE (burst (1, "/once/first"));
+  // No token is earned until the request is queued.
+  beside.gate.rate.tokens = 0;
+  beside.gate.rate.updated_us = eel_clock_us () + 3600 * EEL_US_PER_S;
+  conns.push_back (cluster.connect ());
+  raw_upstream::write (*conns.back (), request_text ("POST", "/once/x", "r1"));
+  ASSERT_TRUE (cluster.run_until ([&] { return beside.gate.queued == 1; }));
+  EXPECT_NE (event_pending (beside.queue_timer, EV_TIMEOUT, nullptr), 0);
+  // Others go before it, or the endpoint names a lower limit.
+  eel_rate_limit_set (&beside.gate.rate, 0, eel_clock_us ());
+  eel_relay_dispatch_queued (&beside);
+  ASSERT_EQ (beside.gate.queued, 1u);
+  ASSERT_NE (event_pending (beside.queue_timer, EV_TIMEOUT, &due), 0);
+  int64_t left_us = beside.gate.queue[0].deadline_us - eel_clock_us ();
+  evutil_gettimeofday (&now, nullptr);
+  int64_t wait_us
+      = (due.tv_sec - now.tv_sec) * EEL_US_PER_S + due.tv_usec - now.tv_usec;
+  EXPECT_LE (wait_us, left_us - 15 * EEL_US_PER_MS);
 }
 
 // Guards against a limit that is kept when the endpoint no longer names one.
