Take no proof of keys from a store that lags behind what is known

An empty answer that names an earlier revision than the node knows, or none, moved the time as of which all changes are known: a store that lags behind would keep a withdrawn key in force for as long as its watches hear nothing.

--- a/tests/unit/test_items_known.cc
+++ b/tests/unit/test_items_known.cc
@@ -49,6 +49,9 @@
     // The store has lost the changes between.
     { "left out", R"({"events":[{"revision":9}],"currentRev":10})", -1 },
     { "nothing, but a later revision", R"({"events":[],"currentRev":10})", -1 },
+    { "store lags", R"({"events":[],"currentRev":8})", -1 },
+    { "no revision", R"({"events":[]})", -1 },
+    { "events, no revision", R"({"events":[{"revision":9}]})", -1 },
   };
 
   reader.after_revision = 9;
