--- a/tests/unit/test_items_known.cc
+++ b/tests/unit/test_items_known.cc
@@ -1,5 +1,7 @@
 #include "adapter_fixture.h"
 
+#include <event2/event.h>
+
 // As of when a reader knows its items, by the answer to one call.
 struct items_known : public adapter_test
 {
@@ -139,3 +141,19 @@
   reader.ip = 1;
   EXPECT_EQ (item_call_timeout_ms (&reader), 300);
 }
+
+// Guards against an answer that counts as one to a later request, which makes
+// knowledge look new: no peer is left to ask, but an earlier one may answer
+// yet.
+TEST_F (items_known, EarlierRequestToAPeerEndsAtTheNext)
+{
+  struct event_base *base = event_base_new ();
+
+  platform.base = base;
+  platform.settings.control.sin_port = htons (1);
+  feed.peer_connection
+      = evhttp_connection_base_new (base, nullptr, "127.0.0.1", 1);
+  peer_fetch_items (&feed);
+  EXPECT_EQ (feed.peer_connection, nullptr);
+  event_base_free (base);
+}
