--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -6,7 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "eelgrasslatch/place.h"
 #include "internal/task.h"
 
 /* A longer body is not buffered, so the request can't be retried. */
@@ -322,82 +321,3 @@
                                               .body_end = on_request_end,
                                               .disconnected = on_disconnect,
                                               .drained = on_drained };
-
-/* Passes the body received so far to a new attempt. */
-static void
-replay_body (struct eel_entry *entry)
-{
-  size_t bytes = evbuffer_get_length (entry->replay);
-
-  if (bytes > 0)
-    eel_attempt_body (entry->attempt, evbuffer_pullup (entry->replay, -1),
-                      bytes);
-  if (entry->body_done)
-    eel_attempt_body_end (entry->attempt, entry->call.fingerprint);
-}
-
-/* A request that was in flight at a crash goes to one endpoint, whoever sends
-   it, so that it can't crash several at the same time. */
-static struct eel_instance *
-pick_instance (struct eel_entry *entry, const struct eel_place_query *query)
-{
-  struct eel_relay *relay = entry->relay;
-  uint64_t fingerprint = entry->call.fingerprint;
-  int64_t now_us = eel_clock_us ();
-
-  if (fingerprint != 0
-      && eel_quarantine_find (&relay->quarantine, fingerprint, now_us) != NULL)
-    return eel_place_pick_for (&relay->directory, query, fingerprint, now_us);
-  return eel_place_pick (&relay->directory, query, now_us, &relay->rng);
-}
-
-/* Returns the endpoint to try next, or NULL when none is left. */
-static struct eel_instance *
-next_instance (struct eel_entry *entry)
-{
-  const struct eel_place_query query
-      = { .service = entry->call.service,
-          .tried = entry->tried,
-          .tried_count = entry->tried_count,
-          .by_finish = entry->relay->config.by_finish,
-          .route = entry->call.route };
-  struct eel_instance *instance = NULL;
-
-  if (entry->replay == NULL || entry->tried_count == EEL_ENTRY_TRIES_MAX)
-    return NULL;
-  if (entry->arrivals < entry->attempts_max)
-    instance = pick_instance (entry, &query);
-  /* An endpoint that sheds a share of all requests may accept this one when it
-     is sent again. */
-  if (instance == NULL && entry->shed_by != NULL
-      && eel_instance_usable (entry->shed_by))
-    instance = entry->shed_by;
-  return instance;
-}
-
-void
-eel_entry_next (struct eel_entry *entry, enum eel_error if_none)
-{
-  struct eel_relay *relay = entry->relay;
-  struct eel_instance *instance = next_instance (entry);
-
-  if (instance == NULL)
-    {
-      eel_entry_answer_error (entry, if_none);
-      return;
-    }
-  entry->tried[entry->tried_count++] = instance->id;
-  entry->instance = instance;
-  entry->call.instance_id = instance->id;
-  eel_attempt_free (entry->attempt);
-  entry->attempt = eel_attempt_new (relay, &entry->call, instance,
-                                    &eel_entry_attempt_ops, entry);
-  if (entry->attempt == NULL)
-    {
-      eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
-      return;
-    }
-  replay_body (entry);
-  /* May free the entry before it returns. */
-  eel_attempt_start (entry->attempt);
-}
