Bound the reported time of a route by what other nodes accept

A run of over an hour counts as one hour in the mean, which also keeps INT64_MAX from overflowing the conversion back from double. Test: RunTimes.RunsOfHoursAreBounded.

--- a/include/eelgrasslatch/run_times.h
+++ b/include/eelgrasslatch/run_times.h
@@ -18,6 +18,8 @@
  */
 
 #define EEL_RUN_TIMES_ROUTES_MAX 32
+/* A longer run counts as this. */
+#define EEL_RUN_TIMES_MAX_US (3600 * EEL_US_PER_S)
 
 struct eel_run_time
 {
--- a/src/admission/run_times.c
+++ b/src/admission/run_times.c
@@ -84,7 +84,7 @@
                       int64_t now_us)
 {
   struct eel_run_time *entry = get_route (times, route);
-  double sample_us = held_us > 0 ? (double)held_us : 1;
+  double sample_us = fmin (fmax (1, (double)held_us), EEL_RUN_TIMES_MAX_US);
   double kept = sums_weight (times, now_us);
 
   times->sums_at_us = now_us;
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -70,7 +70,7 @@
   return (count == LOAD_FIELDS_EARLIER || count == LOAD_FIELDS)
          && text[end] == 0 && has_limit <= 1
          && endpoint->speed_milli <= SPEED_MAX_MILLI && endpoint->run_us >= 0
-         && endpoint->run_us <= LOAD_TIME_MAX_US
+         && endpoint->run_us <= EEL_RUN_TIMES_MAX_US
          && endpoint->limit_milli <= (uint64_t)(EEL_RATE_MAX * 1000)
          && endpoint->use_milli <= USE_MAX_MILLI
          && endpoint->fault_milli <= 1000 && endpoint->hold_us >= 0
--- a/tests/unit/test_run_times.cc
+++ b/tests/unit/test_run_times.cc
@@ -135,6 +135,25 @@
              0);
 }
 
+// The mean never exceeds what other nodes accept in a report.
+TEST (RunTimes, RunsOfHoursAreBounded)
+{
+  for (int64_t held_us : { (int64_t)(2 * EEL_RUN_TIMES_MAX_US), INT64_MAX })
+    {
+      runs runs;
+
+      for (uint32_t i = 0; i < 5; i++)
+        {
+          eel_run_times_record (&runs.times, 1, held_us, runs.now_us);
+          EXPECT_EQ (eel_run_times_usual_us (&runs.times, 1),
+                     EEL_RUN_TIMES_MAX_US);
+          EXPECT_EQ (
+              eel_run_times_expected_us (&runs.times, 1, runs.now_us),
+              EEL_RUN_TIMES_MAX_US);
+        }
+    }
+}
+
 // A hold time that no clock should give doesn't break the estimate.
 TEST (RunTimes, TimeThatDoesNotPassIsBounded)
 {
