Compare run times for the log only within a service

A route can be split between services, and placing compares endpoints of one service only. The review that tells operators which endpoints are spared compared all that had run the route: the endpoints of the slower service were logged and counted as spared though they got their share as before. Test: Spared.ServicesOfOneRouteAreComparedApart.

--- a/src/routing/spared.c
+++ b/src/routing/spared.c
@@ -9,8 +9,10 @@
 /* Age at which a reported time of a route no longer counts. */
 #define RUN_LIFE_US (6 * EEL_US_PER_S)
 
+/* Services that share a route run different work for it. */
 struct fastest
 {
+  uint32_t service;
   uint64_t route;
   int64_t run_us;
 };
@@ -28,22 +30,25 @@
 }
 
 static struct fastest *
-find_fastest (struct fastest_table *table, uint64_t route)
+find_fastest (struct fastest_table *table, uint32_t service, uint64_t route)
 {
   for (uint32_t i = 0; i < table->count; i++)
-    if (table->routes[i].route == route)
+    if (table->routes[i].service == service && table->routes[i].route == route)
       return &table->routes[i];
   return NULL;
 }
 
 static void
-add_run (struct fastest_table *table, const struct eel_instance_run *run)
+add_run (struct fastest_table *table,
+         uint32_t service,
+         const struct eel_instance_run *run)
 {
-  struct fastest *fastest = find_fastest (table, run->route);
+  struct fastest *fastest = find_fastest (table, service, run->route);
 
   if (fastest == NULL && table->count < EEL_SPARED_ROUTES_MAX)
     {
       fastest = &table->routes[table->count++];
+      fastest->service = service;
       fastest->route = run->route;
       fastest->run_us = run->run_us;
     }
@@ -64,7 +69,7 @@
   for (uint32_t i = 0; i < EEL_INSTANCE_RUNS_MAX; i++)
     {
       const struct eel_instance_run *run = &instance->runs[i];
-      const struct fastest *fastest = find_fastest (table, run->route);
+      const struct fastest *fastest = find_fastest (table, instance->service, run->route);
       int64_t milli;
 
       if (!is_fresh (run, now_us) || fastest == NULL)
@@ -91,10 +96,14 @@
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < directory->count; i++)
-    for (uint32_t r = 0; r < EEL_INSTANCE_RUNS_MAX; r++)
-      if (eel_instance_usable (&directory->instances[i])
-          && is_fresh (&directory->instances[i].runs[r], now_us))
-        add_run (&table, &directory->instances[i].runs[r]);
+    {
+      const struct eel_instance *instance = &directory->instances[i];
+
+      for (uint32_t r = 0; r < EEL_INSTANCE_RUNS_MAX; r++)
+        if (eel_instance_usable (instance)
+            && is_fresh (&instance->runs[r], now_us))
+          add_run (&table, instance->service, &instance->runs[r]);
+    }
   for (uint32_t i = 0; i < directory->count; i++)
     {
       struct eel_instance *instance = &directory->instances[i];
--- a/tests/unit/test_finish.cc
+++ b/tests/unit/test_finish.cc
@@ -209,3 +209,32 @@
       EXPECT_EQ (lines, step.lines);
     }
 }
+
+// A route that is split between two services takes longer at one of them.
+TEST (Spared, ServicesOfOneRouteAreComparedApart)
+{
+  struct eel_instance storage[4] = {};
+  struct eel_directory directory;
+  const int64_t now_us = 100 * EEL_US_PER_S;
+  std::string lines;
+
+  eel_directory_init (&directory, storage, 4);
+  eel_directory_set_stable_since (&directory, 0);
+  for (uint32_t service = 0; service < 2; service++)
+    {
+      const std::string id = std::to_string (service);
+      struct eel_instance instance = {};
+      struct eel_instance_report report = {};
+
+      snprintf (instance.id, sizeof instance.id, "%s", id.c_str ());
+      instance.revision = 1;
+      instance.service = service;
+      eel_directory_put (&directory, &instance, 1);
+      report.route = 7;
+      report.run_us = service == 0 ? 10000 : 90000;
+      eel_place_answered (eel_directory_find (&directory, id.c_str ()), &report,
+                          now_us);
+    }
+  EXPECT_EQ (eel_spared_review (&directory, now_us, on_changed, &lines), 0u);
+  EXPECT_EQ (lines, "");
+}
