Bound the random part of the cost below that of an endpoint in backoff

By expected end the random part grows by 8 times the use while a report ages, and by twice the use outside the preferred endpoints. A use of 513 times the limit (one slot, 512 in the queue) or the greatest that is taken (1,000) gave a cost above that of an endpoint in backoff, which should come last. Test: PlaceFinish.BusiestEndpointGoesBeforeOneInBackoff.

--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -49,12 +49,13 @@
 
 /* By expected end of the run: cost above which an endpoint of the own domain is
  * not preferred (four times the fastest one's), what is added for those that
- * are not, the greatest cost, below that of an endpoint in backoff, and the
- * growth of the random spread with the use and with the part of it that is not
- * known. */
+ * are not, the greatest cost and random spread, which together stay below the
+ * cost of an endpoint in backoff, and the growth of the spread with the use and
+ * with the part of it that is not known. */
 #define FINISH_SPILL_MILLI 3000
 #define FINISH_SPILL_COST_MILLI 50000
 #define FINISH_COST_MAX_MILLI 500000
+#define FINISH_SPREAD_MAX_MILLI 400000
 #define DOUBT_FACTOR 8
 
 /* Consecutive failures from which on an endpoint gets one request at a time. */
@@ -207,6 +208,19 @@
   return use;
 }
 
+static uint32_t
+finish_spread (uint32_t use_milli, uint32_t doubt_milli, int preferred)
+{
+  uint64_t spread_milli
+      = NOISE_MILLI
+        + (uint64_t)use_milli * doubt_milli / 1000 * DOUBT_FACTOR;
+
+  if (!preferred)
+    spread_milli += (uint64_t)use_milli * SPREAD_FACTOR;
+  return spread_milli < FINISH_SPREAD_MAX_MILLI ? (uint32_t)spread_milli
+                                                : FINISH_SPREAD_MAX_MILLI;
+}
+
 /* Cost by expected end of the run.  The own domain's endpoints with room come
    before all others. */
 static uint64_t
@@ -219,18 +233,17 @@
   uint64_t end_milli = eel_finish_cost_milli (finish, instance);
   uint32_t use = eel_finish_use_milli (finish, instance);
   uint32_t fault_milli = excess_fault (instance, view, now_us);
-  uint32_t noise
-      = NOISE_MILLI
-        + use * eel_finish_doubt_milli (finish, instance) / 1000 * DOUBT_FACTOR;
+  uint32_t doubt_milli = eel_finish_doubt_milli (finish, instance);
 
   if (end_milli > FINISH_COST_MAX_MILLI)
     end_milli = FINISH_COST_MAX_MILLI;
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
       && fault_milli < FAULT_SPILL_MILLI && end_milli < FINISH_SPILL_MILLI)
-    return end_milli + eel_rng_below (rng, noise);
+    return end_milli
+           + eel_rng_below (rng, finish_spread (use, doubt_milli, 1));
   return FINISH_SPILL_COST_MILLI + end_milli
-         + eel_rng_below (rng, noise + use * SPREAD_FACTOR)
+         + eel_rng_below (rng, finish_spread (use, doubt_milli, 0))
          + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
          + FAULT_COST_FACTOR * fault_milli;
 }
--- a/tests/unit/test_place_finish.cc
+++ b/tests/unit/test_place_finish.cc
@@ -245,3 +245,45 @@
   eel_place_failed (eel_directory_find (&directory, "fast"), now_us);
   EXPECT_STREQ (eel_place_pick (&directory, &query, now_us, &rng)->id, "slow");
 }
+
+// The same for one with a long queue of which the report ages, whatever the
+// random part.
+TEST (PlaceFinish, BusiestEndpointGoesBeforeOneInBackoff)
+{
+  for (uint32_t use_milli : { 100000u, 513000u, 1000000u })
+    for (int64_t age_ms : { 0, 300, 700 })
+      {
+        struct eel_instance storage[2] = {};
+        struct eel_directory directory;
+        struct eel_rng rng;
+        const int64_t now_us = 100 * EEL_US_PER_S;
+        const struct eel_place_query query = { 0, nullptr, 0, 1, 7 };
+        uint32_t failed = 0;
+
+        eel_rng_init (&rng, 1);
+        eel_directory_init (&directory, storage, 2);
+        eel_directory_set_stable_since (&directory, 0);
+        for (const char *id : { "busy", "failed" })
+          {
+            struct eel_instance instance = {};
+            struct eel_instance_report report = {};
+
+            snprintf (instance.id, sizeof instance.id, "%s", id);
+            instance.revision = 1;
+            instance.slots = 1;
+            instance.same_domain = 1;
+            eel_directory_put (&directory, &instance, 1);
+            report.use_milli = use_milli;
+            report.speed_milli = 1000;
+            report.route = 7;
+            report.run_us = 50000;
+            eel_place_answered (eel_directory_find (&directory, id), &report,
+                                now_us - age_ms * EEL_US_PER_MS);
+          }
+        eel_place_failed (eel_directory_find (&directory, "failed"), now_us);
+        for (uint32_t i = 0; i < 1000; i++)
+          failed += eel_place_pick (&directory, &query, now_us, &rng)->id[0]
+                    == 'f';
+        EXPECT_EQ (failed, 0u) << use_milli << " " << age_ms;
+      }
+}
