Leave failed runs out of the times of routes

Runs that end at once with 500 or 502 shortened the mean of their route and raised the speed, so that senders by expected end preferred an endpoint for failing, as long as it failed less than 150 in 1,000 above the others. Answers of 5xx other than 504 aren't recorded. Test: RelayFinish.FailedRunsTellNoTime.

--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -26,6 +26,14 @@
 /* A run with this many times the mean hold time has time enough. */
 #define HOLD_FACTOR_AMPLE 4.0
 
+/* A run that fails at once would make its endpoint look fast; a time-out tells
+   how slow it is. */
+static int
+tells_run_time (const struct eel_attempt *attempt)
+{
+  return attempt->answer_status < 500 || attempt->answer_status == 504;
+}
+
 static void
 release_slot (struct eel_attempt *attempt, int record_hold)
 {
@@ -39,8 +47,9 @@
   eel_gate_done (&attempt->relay->gate, held_us, now_us);
   if (held_us < 0)
     return;
-  eel_run_times_record (&attempt->relay->run_times, attempt->call.route,
-                        held_us, now_us);
+  if (tells_run_time (attempt))
+    eel_run_times_record (&attempt->relay->run_times, attempt->call.route,
+                          held_us, now_us);
   eel_metric_observe (attempt->relay->counters.hold, held_us);
 }
 
--- a/tests/unit/test_relay_finish.cc
+++ b/tests/unit/test_relay_finish.cc
@@ -74,3 +74,37 @@
   EXPECT_GE (cluster.nodes[1]->upstream.requests.size (), 8u);
   EXPECT_EQ (cluster.nodes[0]->relay.counters.spared->value, 0u);
 }
+
+// Runs that fail at once don't make an endpoint look fast; time-outs tell its
+// speed.
+TEST (RelayFinish, FailedRunsTellNoTime)
+{
+  const struct
+  {
+    const char *status;
+    uint32_t samples;
+  } cases[] = { { "200 OK", 1 },
+                { "404 Not Found", 1 },
+                { "500 Internal Server Error", 0 },
+                { "502 Bad Gateway", 0 },
+                { "504 Gateway Timeout", 1 } };
+
+  for (const auto &each : cases)
+    {
+      relay_cluster cluster{ 1 };
+      const struct eel_run_times &times = cluster.nodes[0]->relay.run_times;
+
+      serve (cluster);
+      cluster.nodes[0]->upstream.answer
+          = [&each] (raw_upstream &, raw_conn &conn,
+                     const std::string &request) {
+              raw_upstream::write (conn,
+                                   answer_text (request, "body", each.status));
+            };
+      EXPECT_EQ (status_of (cluster.send_request (
+                     request_text ("GET", "/safe/x", "r1"))),
+                 std::string (each.status, 3));
+      EXPECT_EQ (times.count == 0 ? 0 : times.routes[0].samples, each.samples)
+          << each.status;
+    }
+}
