--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -212,8 +212,7 @@
 finish_spread (uint32_t use_milli, uint32_t doubt_milli, int preferred)
 {
   uint64_t spread_milli
-      = NOISE_MILLI
-        + (uint64_t)use_milli * doubt_milli / 1000 * DOUBT_FACTOR;
+      = NOISE_MILLI + (uint64_t)use_milli * doubt_milli / 1000 * DOUBT_FACTOR;
 
   if (!preferred)
     spread_milli += (uint64_t)use_milli * SPREAD_FACTOR;
@@ -240,8 +239,7 @@
   if (instance->same_domain && use < EEL_PLACE_SPILL_MILLI
       && instance->shed_rate < SHED_RATE_SPILL
       && fault_milli < FAULT_SPILL_MILLI && end_milli < FINISH_SPILL_MILLI)
-    return end_milli
-           + eel_rng_below (rng, finish_spread (use, doubt_milli, 1));
+    return end_milli + eel_rng_below (rng, finish_spread (use, doubt_milli, 1));
   return FINISH_SPILL_COST_MILLI + end_milli
          + eel_rng_below (rng, finish_spread (use, doubt_milli, 0))
          + (uint64_t)(SHED_COST_MILLI * instance->shed_rate)
--- a/src/routing/spared.c
+++ b/src/routing/spared.c
@@ -69,7 +69,8 @@
   for (uint32_t i = 0; i < EEL_INSTANCE_RUNS_MAX; i++)
     {
       const struct eel_instance_run *run = &instance->runs[i];
-      const struct fastest *fastest = find_fastest (table, instance->service, run->route);
+      const struct fastest *fastest
+          = find_fastest (table, instance->service, run->route);
       int64_t milli;
 
       if (!is_fresh (run, now_us) || fastest == NULL)
--- a/tests/unit/test_relay_finish.cc
+++ b/tests/unit/test_relay_finish.cc
@@ -95,12 +95,11 @@
       const struct eel_run_times &times = cluster.nodes[0]->relay.run_times;
 
       serve (cluster);
-      cluster.nodes[0]->upstream.answer
-          = [&each] (raw_upstream &, raw_conn &conn,
-                     const std::string &request) {
-              raw_upstream::write (conn,
-                                   answer_text (request, "body", each.status));
-            };
+      cluster.nodes[0]->upstream.answer = [&each] (raw_upstream &,
+                                                   raw_conn &conn,
+                                                   const std::string &request) {
+        raw_upstream::write (conn, answer_text (request, "body", each.status));
+      };
       EXPECT_EQ (status_of (cluster.send_request (
                      request_text ("GET", "/safe/x", "r1"))),
                  std::string (each.status, 3));
--- a/tests/unit/test_run_times.cc
+++ b/tests/unit/test_run_times.cc
@@ -147,9 +147,8 @@
           eel_run_times_record (&runs.times, 1, held_us, runs.now_us);
           EXPECT_EQ (eel_run_times_usual_us (&runs.times, 1),
                      EEL_RUN_TIMES_MAX_US);
-          EXPECT_EQ (
-              eel_run_times_expected_us (&runs.times, 1, runs.now_us),
-              EEL_RUN_TIMES_MAX_US);
+          EXPECT_EQ (eel_run_times_expected_us (&runs.times, 1, runs.now_us),
+                     EEL_RUN_TIMES_MAX_US);
         }
     }
 }
