--- a/tests/unit/test_finish.cc
+++ b/tests/unit/test_finish.cc
@@ -149,6 +149,40 @@
     EXPECT_GT (run.route, 1u);
 }
 
+// The random part of the cost doesn't outweigh a fifth of the run's time.
+TEST (Finish, EndpointSlowerByAFifthIsNotPicked)
+{
+  const struct eel_place_query query = { 0, nullptr, 0, 1, 7 };
+  const int64_t now_us = 100 * EEL_US_PER_S;
+  struct eel_instance storage[2] = {};
+  struct eel_directory directory;
+  struct eel_rng rng;
+
+  eel_rng_init (&rng, 1);
+  eel_directory_init (&directory, storage, 2);
+  eel_directory_set_stable_since (&directory, 0);
+  for (const char *id : { "slow", "usual" })
+    {
+      struct eel_instance instance = {};
+      struct eel_instance_report report = {};
+
+      snprintf (instance.id, sizeof instance.id, "%s", id);
+      instance.revision = 1;
+      instance.slots = 20;
+      instance.same_domain = 1;
+      eel_directory_put (&directory, &instance, 1);
+      report.use_milli = 300;
+      report.speed_milli = id[0] == 's' ? 833 : 1000;
+      report.route = 7;
+      report.run_us = 50000;
+      eel_place_answered (eel_directory_find (&directory, id), &report, now_us);
+    }
+  for (uint32_t i = 0; i < 1000; i++)
+    ASSERT_STREQ (eel_place_pick (&directory, &query, now_us, &rng)->id,
+                  "usual")
+        << i;
+}
+
 namespace
 {
 void
--- a/tests/unit/test_run_times.cc
+++ b/tests/unit/test_run_times.cc
@@ -9,6 +9,13 @@
 namespace
 {
 constexpr int64_t MS = EEL_US_PER_MS;
+// Issue 44, point 2: slow moments are noticed within a few answers and
+// forgotten as soon.
+constexpr uint32_t FEW_ANSWERS = 5;
+// Callers need that no request is sent to a slow endpoint while one of the same
+// use is not slow.  That is so once a run takes longer by more than the random
+// part of the cost, a fifth (Finish.EndpointSlowerByAFifthIsNotPicked).
+constexpr uint32_t NOTICED_MILLI = 833;
 
 // Records runs of one route, one every 20 ms, that take factor times 100 ms on
 // average, evenly spread over half to one and a half of it.
@@ -77,8 +84,8 @@
     }
 }
 
-// A moment of 600 ms in which runs take 2.5 times as long is seen by its fifth
-// run, and forgotten 400 ms after its end, and after 1 s also without a run.
+// A moment of 600 ms in which runs take 2.5 times as long, also forgotten 1 s
+// after its end without a run.
 TEST (RunTimes, SlowMomentIsSeenAndForgotten)
 {
   constexpr uint64_t SEEDS = 20;
@@ -90,9 +97,9 @@
 
       runs.record (200, 1);
       EXPECT_NEAR (runs.speed (), 1000, 200) << seed;
-      runs.record (5, 2.5);
+      runs.record (FEW_ANSWERS, 2.5);
       seen_milli += (double)runs.speed () / SEEDS;
-      EXPECT_LE (runs.speed (), 850u) << seed;
+      EXPECT_LE (runs.speed (), NOTICED_MILLI) << seed;
       runs.record (25, 2.5);
       EXPECT_LE (runs.speed (), 650u) << seed;
       EXPECT_GE (eel_run_times_expected_us (&runs.times, 1, runs.now_us),
@@ -106,9 +113,23 @@
       EXPECT_GE (runs.speed (), 800u) << seed;
       EXPECT_LE (eel_run_times_usual_us (&runs.times, 1), 130 * MS) << seed;
     }
+  // On average the endpoint is left for one with a fifth more use, too.
   EXPECT_LE (seen_milli, 700);
 }
 
+TEST (RunTimes, SlowMomentIsForgottenWithinAsFewAnswers)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      runs runs (seed);
+
+      runs.record (200, 1);
+      runs.record (30, 2.5);
+      runs.record (FEW_ANSWERS, 1);
+      EXPECT_GE (runs.speed (), NOTICED_MILLI) << seed;
+    }
+}
+
 // Within 3 s of a change that stays, runs count as usual again.
 TEST (RunTimes, LastingSlownessBecomesUsual)
 {
