Leave idle routes out of the prior of the speed

The speed of the last moments is averaged with two runs of the mean of all known routes, of which an idle one is kept until 32 others have run. Routes without a run for 5 s are left out; without any the speed is the usual one. Rare routes still weigh as much as frequent ones: a gap in docs/design/placing.md. Test: RunTimes.SlowMomentIsSeenBesideAnIdleLongRoute, which fails before.

--- a/src/admission/run_times.c
+++ b/src/admission/run_times.c
@@ -121,26 +121,32 @@
          / eel_run_times_speed_milli (times, now_us);
 }
 
-/* Mean of the routes' times, for the weight of the prior. */
+/* Mean of the times of the routes that are in use, for the weight of the prior;
+   0: none is. */
 static double
-prior_us (const struct eel_run_times *times)
+prior_us (const struct eel_run_times *times, int64_t now_us)
 {
   double sum_us = 0;
+  uint32_t count = 0;
 
   for (uint32_t i = 0; i < times->count; i++)
-    sum_us += times->routes[i].mean_us;
-  return times->count == 0 ? 0 : SPEED_PRIOR_RUNS * sum_us / times->count;
+    if ((double)(now_us - times->routes[i].updated_us) < MEAN_WINDOW_US)
+      {
+        sum_us += times->routes[i].mean_us;
+        count++;
+      }
+  return count == 0 ? 0 : SPEED_PRIOR_RUNS * sum_us / count;
 }
 
 uint32_t
 eel_run_times_speed_milli (const struct eel_run_times *times, int64_t now_us)
 {
   double kept = sums_weight (times, now_us);
-  double prior = prior_us (times);
+  double prior = prior_us (times, now_us);
   double held_us = kept * times->held_us + prior;
   double speed_milli;
 
-  if (held_us <= 0)
+  if (prior <= 0)
     return SPEED_USUAL_MILLI;
   speed_milli = SPEED_USUAL_MILLI * (kept * times->usual_us + prior) / held_us;
   return (uint32_t)fmin (fmax (speed_milli, SPEED_MIN_MILLI), SPEED_MAX_MILLI);
--- a/tests/unit/test_run_times.cc
+++ b/tests/unit/test_run_times.cc
@@ -130,6 +130,20 @@
     }
 }
 
+// Nor does a route of long runs hide it that had its last one seconds ago.
+TEST (RunTimes, SlowMomentIsSeenBesideAnIdleLongRoute)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      runs runs (seed);
+
+      runs.record (20, 50, 2);
+      runs.record (300, 1);
+      runs.record (FEW_ANSWERS, 2.5);
+      EXPECT_LE (runs.speed (), NOTICED_MILLI) << seed;
+    }
+}
+
 // Within 3 s of a change that stays, runs count as usual again.
 TEST (RunTimes, LastingSlownessBecomesUsual)
 {
