Soak: callers of teams, keys taken away, a team far above its cap

The soak knew no teams. With seeds that three divides callers bear keys, one team's keys are taken away one after the other, another sends far above its cap; no key may reach an endpoint or a log, no team's run bear another name, no key be served 5 s after it was taken away, no window exceed the cap.

Three planted faults are new in tools/soak_faults.sh.

--- a/tests/soak/check.awk
+++ b/tests/soak/check.awk
@@ -1,14 +1,17 @@
 # Checks the answers that callers got against the runs at endpoints.  First
 # file: runs, "id method target service"; second: answers, "id method status
-# echoed-id".
+# echoed-id key sent_ms".  Refusals of callers above their cap, and of keys that
+# were taken away, don't count for the share that is served.
 FNR == NR {
 	if ($1 != "probe") runs[$1]++
 	crashes += $3 == "/once/crash"
 	next
 }
 {
-	answers++
-	served += $3 == 200
+	if ($5 == "-" || $5 == "key-steady") {
+		answers++
+		served += $3 == 200
+	}
 	if ($2 == "POST" && runs[$1] > 1)
 		violation("order " $1 " ran " runs[$1] " times")
 	if ($2 == "POST" && ($3 == 503 || $3 == 429) && runs[$1] > 0)
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -9,11 +9,13 @@
 # configuration version decreased; planned stops exited with 0 and interrupted
 # no request; a draining endpoint gets no requests after 3 s; the newest
 # configuration is in force at the end, and no node keeps what the load took.  A
-# request that crashes each endpoint comes again among the others.
+# request that crashes each endpoint comes again among the others.  With seeds
+# that three divides the callers belong to teams (tests/soak/teams.sh).
 set -eu
 SEED=${SEED:-1}
 SECONDS_MAX=${SECONDS_MAX:-20}
 . tools/platform_fleet.sh
+. tests/soak/teams.sh
 trap fleet_stop EXIT INT TERM
 
 VMS="2 3 4"
@@ -32,7 +34,7 @@
 	vm=$((drawn + 2))
 }
 
-# caller N VM: sends requests one after another and records each in callerN.
+# caller N VM TEAM: sends requests one after another and records each in callerN.
 caller()
 {
 	n=0
@@ -42,12 +44,14 @@
 		target=/safe/x
 		method=GET
 		[ $((n % 2)) -eq 0 ] || { target=/once/x; method=POST; }
+		team_key "$3"
+		sent_ms=$(date +%s%3N)
 		code=$(curl -s -m 4 -o "$FLEET_DIR/body$1" -D "$FLEET_DIR/head$1" -w '%{http_code}' \
 			-X $method -H "Host: shop.example" -H "X-Attempt-Id: $id" \
-			-H "X-Deadline-Remaining-Ms: 3000" \
+			-H "X-Deadline-Remaining-Ms: 3000" ${FLEET_TEAMS:+-H "Authorization: Bearer $key" -H "X-Tenant: forged"} \
 			"http://127.0.0.$2:$((FLEET_PORT + 2))$target" || true)
 		echoed=$(sed -n 's/^X-Attempt-Id: \([^\r]*\).*/\1/p' "$FLEET_DIR/head$1" 2>/dev/null || true)
-		echo "$id $method $code ${echoed:--}"
+		echo "$id $method $code ${echoed:--} ${key:--} $sent_ms"
 	done >"$FLEET_DIR/caller$1"
 }
 
@@ -96,10 +100,10 @@
 	done
 	# shellcheck disable=SC2086
 	curl -s -w '%{http_code}\n' -H "Host: shop.example" -H "X-Attempt-Id: keep-alive" \
-		-H "X-Deadline-Remaining-Ms: 3000" $urls >"$FLEET_DIR/keep_alive" &
+		-H "X-Deadline-Remaining-Ms: 3000" ${FLEET_KEY:+-H "Authorization: Bearer $FLEET_KEY"} $urls >"$FLEET_DIR/keep_alive" &
 	pid=$!
 	curl -s -m 6 -o /dev/null -w '%{http_code}' -H "Host: shop.example" -H "X-Attempt-Id: long" \
-		-H "X-Deadline-Remaining-Ms: 5000" \
+		-H "X-Deadline-Remaining-Ms: 5000" ${FLEET_KEY:+-H "Authorization: Bearer $FLEET_KEY"} \
 		"http://127.0.0.2:$((FLEET_PORT + 2))/safe/long" >"$FLEET_DIR/long" &
 	long=$!
 	sleep 0.2
@@ -175,13 +179,13 @@
 	for _ in $(seq "$1"); do
 		parts="$parts${parts:+,}{\"service\":\"shop\",\"weight\":$2}"
 	done
-	route="\"host\":\"shop.example\",\"timeoutMs\":5000,\"targetLatencyMs\":1000,\"priority\":0,\"attempts\":2"
+	route="\"host\":\"shop.example\",\"timeoutMs\":5000,\"targetLatencyMs\":1000,\"priority\":0,\"attempts\":2$FLEET_ROUTE"
 	splits=""
 	for prefix in /safe/ ${3:-}; do
 		splits="$splits{\"prefix\":\"$prefix\",\"kind\":\"safe\",$route,\"trafficSplit\":[$parts]},"
 	done
 	version=$((version + 2))
-	store_put op/config "{\"version\":$version,\"routes\":[$splits{\"prefix\":\"/once/\",\"kind\":\"non_idempotent\",$route,\"service\":\"shop\"}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
+	store_put op/config "{\"version\":$version,\"routes\":[$splits{\"prefix\":\"/once/\",\"kind\":\"non_idempotent\",$route,\"service\":\"shop\"}]${FLEET_TEAMS:+,\"tenants\":$FLEET_TEAMS},\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
 }
 
 # What other writers and operators may do, and uploads.
@@ -202,7 +206,7 @@
 		uploads=$((uploads + 1))
 		curl -s -m 4 -o /dev/null -X POST --data-binary "@$FLEET_DIR/large" \
 			-H "Host: shop.example" -H "X-Attempt-Id: upload$uploads" \
-			-H "X-Deadline-Remaining-Ms: 3000" \
+			-H "X-Deadline-Remaining-Ms: 3000" ${FLEET_KEY:+-H "Authorization: Bearer $FLEET_KEY"} \
 			"http://127.0.0.$((drawn + 2)):$((FLEET_PORT + 2))/once/upload" || true
 		;;
 	5)
@@ -210,6 +214,7 @@
 			send_crasher $each
 		done
 		;;
+	6) [ -z "$FLEET_TEAMS" ] || revoke_key ;;
 	*) ;;
 	esac
 }
@@ -220,7 +225,7 @@
 {
 	crashers=$((crashers + 1))
 	curl -s -m 4 -o /dev/null -X POST -H "Host: shop.example" -H "X-Attempt-Id: crasher$crashers" \
-		-H "X-Deadline-Remaining-Ms: 3000" \
+		-H "X-Deadline-Remaining-Ms: 3000" ${FLEET_KEY:+-H "Authorization: Bearer $FLEET_KEY"} \
 		"http://127.0.0.$1:$((FLEET_PORT + 2))/once/crash" || true
 	for ended in $VMS; do
 		[ -e "/proc/$(fleet_pid endpoint$ended)/exe" ] || restart_endpoint $ended
@@ -256,6 +261,9 @@
 if [ $((SEED % 2)) -eq 0 ]; then
 	FLEET_ZONE=z
 fi
+if [ $((SEED % 3)) -eq 0 ]; then
+	start_teams
+fi
 fleet_store 2
 fleet_proxy store 127.0.1.1 127.0.0.1 "$STORE"
 for vm in $VMS; do
@@ -283,10 +291,14 @@
 done
 callers=""
 for vm in $VMS; do
-	caller $vm $vm &
+	caller $vm $vm steady &
 	callers="$callers $!"
-	caller 1$vm $vm &
+	caller 1$vm $vm moving &
 	callers="$callers $!"
+	if [ -n "$FLEET_TEAMS" ]; then
+		caller 2$vm $vm hot &
+		callers="$callers $!"
+	fi
 done
 end=$(($(date +%s) + SECONDS_MAX))
 while [ "$(date +%s)" -lt $end ]; do
@@ -318,6 +330,7 @@
 	cp -r "$FLEET_DIR" "$SOAK_KEEP"
 fi
 awk -f tests/soak/check.awk "$FLEET_DIR/runs" "$FLEET_DIR/answers" || failed=1
+[ -z "$FLEET_TEAMS" ] || check_teams
 awk '/^restarted$/ { last = -1 }
 	/event=config_in_force/ { split($0, part, "version="); v = part[2] + 0
 		if (v < last) { print "VIOLATION configuration version decreased to " v; failed = 1 }
--- a/tests/standin/endpoint.c
+++ b/tests/standin/endpoint.c
@@ -1,20 +1,22 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 /*
- * Stand-in for an endpoint of the platform: endpoint IP PORT ID WORK_MS.  It
+ * Stand-in for an endpoint of the platform: endpoint IP PORT ID WORK_MS [all].  It
  * executes requests whose X-Expected-Instance is its id, refuses others with
  * 421, and prints one line per execution: request id, method, target, caller
- * service.  A target with "status=500" fails, "/crash" ends the process,
- * "/long" takes 3.5 s.
+ * service and, with "all", team, authorization, Unix time in ms.  A target with
+ * "status=500" fails, "/crash" ends the process, "/long" takes 3.5 s.
  * Without arguments it prints the first port of a free range.
  */
 
@@ -27,6 +29,7 @@
   struct event_base *base;
   const char *id;
   struct timeval work_time;
+  int prints_all;
 } endpoint;
 
 static const struct timeval long_work_time = { .tv_sec = 3, .tv_usec = 500000 };
@@ -81,6 +84,20 @@
     }
 }
 
+/* An Authorization field has two words. */
+static void
+print_team (struct evhttp_request *request)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  printf (" %s %s %" PRId64, request_header (request, "X-Tenant"),
+          strcmp (request_header (request, "Authorization"), "-") == 0
+              ? "-"
+              : "authorized",
+          (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000);
+}
+
 static void
 on_request (struct evhttp_request *request, void *data)
 {
@@ -92,9 +109,12 @@
       evhttp_send_reply (request, 421, "Misdirected Request", NULL);
       return;
     }
-  printf ("%s %s %s %s\n", request_header (request, "X-Attempt-Id"),
+  printf ("%s %s %s %s", request_header (request, "X-Attempt-Id"),
           method_name (request), evhttp_request_get_uri (request),
           request_header (request, "X-Caller-Service"));
+  if (endpoint.prints_all)
+    print_team (request);
+  printf ("\n");
   fflush (stdout);
   if (strstr (evhttp_request_get_uri (request), "/crash") != NULL)
     _exit (EXIT_FAILURE);
@@ -157,8 +177,9 @@
       printf ("%d\n", find_free_ports ());
       return 0;
     }
-  if (argc != 5)
+  if (argc != 5 && argc != 6)
     return 64;
+  endpoint.prints_all = argc == 6;
   signal (SIGPIPE, SIG_IGN);
   endpoint.id = argv[3];
   endpoint.work_time.tv_usec = atoi (argv[4]) * 1000;
--- a/tools/platform_fleet.sh
+++ b/tools/platform_fleet.sh
@@ -11,6 +11,11 @@
 FLEET_BOUNDS=""
 # Network prefix at which other nodes reach a VM: its own or that of proxies.
 FLEET_NET=127.0.0
+# Teams of each configuration, as a JSON array, what routes have beside the usual,
+# and the key of requests; empty: none.
+FLEET_TEAMS=""
+FLEET_ROUTE=""
+FLEET_KEY=""
 
 fleet_start()
 {
@@ -92,7 +97,7 @@
 
 fleet_endpoint()
 {
-	fleet_start "endpoint$1" "$BUILD/standin_endpoint" "127.0.0.$1" $((FLEET_PORT + 1)) "$2" "${3:-5}"
+	fleet_start "endpoint$1" "$BUILD/standin_endpoint" "127.0.0.$1" $((FLEET_PORT + 1)) "$2" "${3:-5}" ${FLEET_TEAMS:+all}
 }
 
 # fleet_settings N: writes the settings file of VM N.
@@ -105,6 +110,7 @@
 "ready":"$ip:$((FLEET_PORT + 4))","control":"$ip:$((FLEET_PORT + 5))"},
 "seedNodes":["$FLEET_NET.3:$((FLEET_PORT + 5))","$FLEET_NET.2:$((FLEET_PORT + 5))"],"appAddress":"$ip:$((FLEET_PORT + 1))",
 "bounds":{"gracePeriodS":6,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetExtraRetries":48${FLEET_BOUNDS:+,$FLEET_BOUNDS}},
+"internalPortRange":[$((FLEET_PORT + 6)),$((FLEET_PORT + 7))],
 "platform":{"address":"${FLEET_STORE:-127.0.0.1}:$STORE"}}
 END
 }
@@ -129,9 +135,9 @@
 	for prefix in "$@"; do
 		kind=safe
 		case $prefix in /once*) kind=non_idempotent ;; esac
-		routes="$routes${routes:+,}{\"name\":\"r$prefix\",\"host\":\"shop.example\",\"prefix\":\"$prefix\",\"kind\":\"$kind\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"shop\",\"attempts\":2}"
+		routes="$routes${routes:+,}{\"name\":\"r$prefix\",\"host\":\"shop.example\",\"prefix\":\"$prefix\",\"kind\":\"$kind\",\"timeoutMs\":3000,\"targetLatencyMs\":1000,\"priority\":0,\"service\":\"shop\",\"attempts\":2$FLEET_ROUTE}"
 	done
-	store_put op/config "{\"version\":$version,\"routes\":[$routes],\"services\":[{\"name\":\"shop\"}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
+	store_put op/config "{\"version\":$version,\"routes\":[$routes]${FLEET_TEAMS:+,\"tenants\":$FLEET_TEAMS},\"services\":[{\"name\":\"shop\"}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}"
 }
 
 # fleet_ask N ID TARGET [curl options]: prints body and status of one request.
@@ -142,7 +148,7 @@
 	target=$3
 	shift 3
 	curl -s -w '%{http_code}\n' -H "Host: shop.example" -H "X-Attempt-Id: $id" \
-		-H "X-Deadline-Remaining-Ms: 3000" "$@" "http://127.0.0.$vm:$((FLEET_PORT + 2))$target"
+		-H "X-Deadline-Remaining-Ms: 3000" ${FLEET_KEY:+-H "Authorization: Bearer $FLEET_KEY"} "$@" "http://127.0.0.$vm:$((FLEET_PORT + 2))$target"
 }
 
 # fleet_returns STATUS N TARGET: true if a request at VM N gets this status.
--- a/tools/soak_faults.sh
+++ b/tools/soak_faults.sh
@@ -57,5 +57,11 @@
 	's/      if (!is_busy (conn, now_us) \&\& !conn->lingering)/      if ((!is_busy (conn, now_us) || 1) \&\& !conn->lingering)/'
 try "requests that crash endpoints are never refused" src/retry/quarantine_judge.c \
 	's/entry->crashes >= EEL_QUARANTINE_CRASHES_REFUSED/0/; s/else if (is_only_suspect/else if ((is_only_suspect \&\& 0)/'
+try "key of a caller reaches endpoints" src/relay/attempt.c \
+	's/call->has_teams ? header_names->authorization : NULL/NULL/'
+try "first keys stay in force" src/relay/teams.c \
+	's/^  if (relay->teams != NULL)$/  if (relay->teams != NULL) return;\n&/'
+try "caps are not kept" src/relay/entry_cap.c \
+	's/  if (!is_capped (entry))/  if (1 || !is_capped (entry))/'
 echo "$found found, $missed missed"
 [ $missed -eq 0 ]
