--- a/tests/standin/endpoint.c
+++ b/tests/standin/endpoint.c
@@ -12,8 +12,8 @@
 #include <unistd.h>
 
 /*
- * Stand-in for an endpoint of the platform: endpoint IP PORT ID WORK_MS [all].  It
- * executes requests whose X-Expected-Instance is its id, refuses others with
+ * Stand-in for an endpoint of the platform: endpoint IP PORT ID WORK_MS [all].
+ * It executes requests whose X-Expected-Instance is its id, refuses others with
  * 421, and prints one line per execution: request id, method, target, caller
  * service and, with "all", team, authorization, Unix time in ms.  A target with
  * "status=500" fails, "/crash" ends the process, "/long" takes 3.5 s.
