--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -279,28 +279,6 @@
   return domain;
 }
 
-/* True when some domain that the directory knows has no usable endpoint of the
-   service. */
-static int
-lacks_domain (const struct eel_directory *directory, uint32_t service)
-{
-  uint32_t known = 0;
-  uint32_t serving = 0;
-
-  for (uint32_t i = 0; i < directory->count; i++)
-    {
-      const struct eel_instance *instance = &directory->instances[i];
-
-      if (instance->domain >= EEL_DOMAINS_MAX
-          || !eel_instance_usable (instance))
-        continue;
-      known |= UINT32_C (1) << instance->domain;
-      if (instance->service == service)
-        serving |= UINT32_C (1) << instance->domain;
-    }
-  return serving != known;
-}
-
 uint8_t
 eel_domain_flow_choose (struct eel_domain_flow *flow,
                         const struct eel_directory *directory,
@@ -313,10 +291,6 @@
   struct service_view view;
   uint8_t domain;
 
-  /* Endpoints of such a service also serve the domains without any, whose
-     requests no reports tell apart: all of them are shared. */
-  if (lacks_domain (directory, query->service))
-    return EEL_ANY_DOMAIN;
   view_service (directory, query, now_us, &view);
   if (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0)
     return EEL_ANY_DOMAIN;
