Share the endpoints of a service of which a domain has only one

With one endpoint at home the flow kept requests in its queue that endpoints of other domains had room for. Such a service is now placed in all domains as without the flow.

--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -23,6 +23,9 @@
 /* Refusals at home after which home counts as full, whatever the reports say:
    one may come from senders that all followed the same report. */
 #define HOME_REFUSALS 2
+/* With fewer endpoints at home there is no second one to ask there, and one
+ * queue of a domain is longer than one of all: the service is shared. */
+#define HOME_ENDPOINTS_MIN 2
 /* Endpoints of other domains that a request is offered to once home has refused
    it. */
 #define TRIED_ABROAD_MAX 3
@@ -99,6 +102,7 @@
   if (seen->instance->domain >= EEL_DOMAINS_MAX)
     return;
   domain = &view->domains[seen->instance->domain];
+  domain->endpoints += !view->has_means;
   if (seen->tried && seen->instance->domain != EEL_HOME_DOMAIN)
     view->tried_abroad++;
   if (seen->tried || seen->obstacle < EEL_LEAVE_SHED)
@@ -292,7 +296,8 @@
   uint8_t domain;
 
   view_service (directory, query, now_us, &view);
-  if (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0)
+  if (view.domains[EEL_HOME_DOMAIN].endpoints < HOME_ENDPOINTS_MIN
+      || (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0))
     return EEL_ANY_DOMAIN;
   row = eel_flow_service (flow, query->service);
   if (view.domains[EEL_HOME_DOMAIN].sound == 0)
