Share the slots of an endpoint among the teams of a rank

The gate's order knew rank and target only, so that the team that sends most got most. Requests that name a team are now started by start-time fair queueing of slot time by weight, and one is refused when its team's share gives it no slot in time; when the queue is full, the last request of the team furthest above its share goes.

--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eelgrasslatch/fair_order.h"
 #include "eelgrasslatch/rate_limit.h"
 #include "eelgrasslatch/types.h"
 
@@ -16,6 +17,12 @@
  * in order of target.  A request whose expected wait is too long is refused on
  * arrival, before anything is spent on it.
  *
+ * Requests that name a team share the slots that their rank gets
+ * (fair_order.h): which of them starts, and which is refused when the wait is
+ * too long, goes by team, and only after that by target.  How many are refused,
+ * and when one of them is due among those without a team, is the same as
+ * without teams.
+ *
  * An endpoint in need names a rate of requests; the gate keeps to that too.
  */
 
@@ -33,6 +40,23 @@
   void *owner;
 };
 
+/* Whose share a request is counted on. */
+struct eel_gate_share
+{
+  /* 0: none. */
+  uint64_t team;
+  uint32_t weight_milli;
+  /* Time that it is expected to hold a slot; 0: the gate's mean. */
+  double expected_us;
+  /* Set by the gate: entry of the fair order, and that the request has to be
+     refused because its place went to another. */
+  int32_t entry;
+  uint8_t displaced;
+  /* Set by the gate where no team is named: requests of teams of its rank that
+     start before it. */
+  uint32_t ahead;
+};
+
 enum eel_gate_verdict
 {
   EEL_GATE_START,
@@ -45,8 +69,12 @@
   uint32_t limit;
   struct eel_rate_limit rate;
   uint32_t running;
-  struct eel_gate_item queue[EEL_GATE_QUEUE_MAX];
+  /* One more for the request that took the place of a displaced one. */
+  struct eel_gate_item queue[EEL_GATE_QUEUE_MAX + 1];
+  struct eel_gate_share shares[EEL_GATE_QUEUE_MAX + 1];
   uint32_t queued;
+  uint32_t displaced;
+  struct eel_fair_order fair;
   /* Rank of the least important route in force. */
   uint8_t last_rank;
   /* EWMA of the time that a request holds a slot. */
@@ -64,6 +92,15 @@
 enum eel_gate_verdict eel_gate_offer (struct eel_gate *gate,
                                       const struct eel_gate_item *item,
                                       int64_t now_us);
+/*
+ * Offers an item that counts on a team's share.  The place of a queued one may
+ * go to it: while gate->displaced isn't 0, eel_gate_next returns those that
+ * have lost theirs, as refused.
+ */
+enum eel_gate_verdict eel_gate_offer_share (struct eel_gate *gate,
+                                            const struct eel_gate_item *item,
+                                            const struct eel_gate_share *share,
+                                            int64_t now_us);
 /*
  * Dequeues the next item.  Returns EEL_GATE_START for one that starts now,
  * EEL_GATE_REFUSE for one that can no longer be served before its deadline, and
@@ -77,6 +114,11 @@
  * mean hold time.
  */
 void eel_gate_done (struct eel_gate *gate, int64_t held_us, int64_t now_us);
+/* Charges a team for the slot that its request has held. */
+void eel_gate_done_share (struct eel_gate *gate,
+                          uint64_t team,
+                          uint8_t rank,
+                          int64_t held_us);
 /* Dequeues the item of a cancelled owner; 0 when it is not queued. */
 int eel_gate_withdraw (struct eel_gate *gate, const void *owner);
 /* Smoothed use of the limit in thousandths; above 1000 requests are queued. */
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -3,6 +3,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "internal/gate.h"
+
 /* Part of the slots to use: some upstreams slow down close to saturation. */
 #define LIMIT_PERCENT 95
 /* Hold time of an ordinary call, assumed until requests have completed. */
@@ -21,6 +23,7 @@
   memset (gate, 0, sizeof *gate);
   gate->hold_us = INITIAL_HOLD_US;
   eel_rate_limit_init (&gate->rate);
+  eel_fair_order_init (&gate->fair);
   eel_gate_set_slots (gate, slots);
 }
 
@@ -60,11 +63,11 @@
  * Returns true when a is served before b.  An item that would miss its target
  * even when started now goes after those of its rank that can still meet it.
  */
-static int
-precedes (const struct eel_gate *gate,
-          const struct eel_gate_item *a,
-          const struct eel_gate_item *b,
-          int64_t now_us)
+int
+eel_gate_precedes (const struct eel_gate *gate,
+                   const struct eel_gate_item *a,
+                   const struct eel_gate_item *b,
+                   int64_t now_us)
 {
   int64_t end_us = now_us + (int64_t)gate->hold_us;
   int a_late = a->target_us < end_us;
@@ -79,8 +82,10 @@
 
 /* Expected time until an item with so many ahead of it gets a slot, and may
    start. */
-static int64_t
-expected_wait_us (const struct eel_gate *gate, uint32_t ahead, int64_t now_us)
+int64_t
+eel_gate_expected_wait_us (const struct eel_gate *gate,
+                           uint32_t ahead,
+                           int64_t now_us)
 {
   int64_t rate_us = eel_rate_limit_wait_us (&gate->rate, ahead, now_us);
   int64_t slot_us = (int64_t)((ahead + 1) * gate->hold_us / gate->limit);
@@ -93,7 +98,7 @@
 {
   if (gate->running < gate->limit && gate->queued == 0)
     return eel_rate_limit_wait_us (&gate->rate, 0, now_us);
-  return expected_wait_us (gate, gate->queued, now_us);
+  return eel_gate_expected_wait_us (gate, gate->queued, now_us);
 }
 
 int64_t
@@ -129,40 +134,103 @@
   uint32_t ahead = 0;
 
   for (uint32_t i = 0; i < gate->queued; i++)
-    ahead += (uint32_t)!precedes (gate, item, &gate->queue[i], now_us);
+    ahead += (uint32_t)!eel_gate_precedes (gate, item, &gate->queue[i], now_us);
   return ahead;
 }
 
+/* Decides about an item that can't start at once; returns true to queue it. */
+static int
+may_queue (struct eel_gate *gate,
+           const struct eel_gate_item *item,
+           const struct eel_gate_share *share,
+           int64_t now_us)
+{
+  int64_t allowed_us = allowed_wait_us (gate, item, now_us);
+
+  if (share->entry == EEL_FAIR_NONE)
+    return gate->queued < EEL_GATE_QUEUE_MAX
+           && eel_gate_expected_wait_us (gate, count_ahead (gate, item, now_us),
+                                         now_us)
+                  <= allowed_us;
+  if (eel_gate_share_wait_us (gate, item, share, now_us) > allowed_us)
+    return 0;
+  return gate->queued < EEL_GATE_QUEUE_MAX
+         || (gate->queued == EEL_GATE_QUEUE_MAX
+             && eel_gate_share_displace (gate, item, share, now_us));
+}
+
+static void
+count_refused (struct eel_gate *gate,
+               const struct eel_gate_share *share,
+               int64_t now_us)
+{
+  gate->refused++;
+  if (share->entry != EEL_FAIR_NONE)
+    eel_fair_order_refused (&gate->fair, share->entry, share->expected_us,
+                            now_us);
+}
+
 /* Starts, queues or refuses an arriving request; a queued item is copied. */
 enum eel_gate_verdict
-eel_gate_offer (struct eel_gate *gate,
-                const struct eel_gate_item *item,
-                int64_t now_us)
+eel_gate_offer_share (struct eel_gate *gate,
+                      const struct eel_gate_item *item,
+                      const struct eel_gate_share *share,
+                      int64_t now_us)
 {
+  struct eel_gate_share own = eel_gate_share_count (gate, item, share, now_us);
+
   update_use (gate, now_us);
   if (gate->running < gate->limit && gate->queued == 0
       && eel_rate_limit_take (&gate->rate, now_us))
     {
       gate->running++;
       gate->started++;
+      if (own.entry != EEL_FAIR_NONE)
+        eel_fair_order_started (&gate->fair, own.entry, own.expected_us,
+                                now_us);
       return EEL_GATE_START;
     }
-  if (gate->queued == EEL_GATE_QUEUE_MAX
-      || expected_wait_us (gate, count_ahead (gate, item, now_us), now_us)
-             > allowed_wait_us (gate, item, now_us))
+  if (!may_queue (gate, item, &own, now_us))
     {
-      gate->refused++;
+      count_refused (gate, &own, now_us);
       return EEL_GATE_REFUSE;
     }
+  if (own.entry != EEL_FAIR_NONE)
+    eel_fair_order_queued (&gate->fair, own.entry, own.expected_us);
+  gate->shares[gate->queued] = own;
   gate->queue[gate->queued++] = *item;
+  eel_gate_share_queued (gate, gate->queued - 1, now_us);
   return EEL_GATE_QUEUE;
 }
 
+enum eel_gate_verdict
+eel_gate_offer (struct eel_gate *gate,
+                const struct eel_gate_item *item,
+                int64_t now_us)
+{
+  return eel_gate_offer_share (gate, item, NULL, now_us);
+}
+
 static void
 remove_item (struct eel_gate *gate, uint32_t index, struct eel_gate_item *item)
 {
   *item = gate->queue[index];
+  gate->displaced -= gate->shares[index].displaced;
   gate->queue[index] = gate->queue[--gate->queued];
+  gate->shares[index] = gate->shares[gate->queued];
+}
+
+/* Removes an item that doesn't start. */
+static void
+drop_item (struct eel_gate *gate, uint32_t index, struct eel_gate_item *item)
+{
+  const struct eel_gate_share share = gate->shares[index];
+
+  remove_item (gate, index, item);
+  if (share.entry == EEL_FAIR_NONE)
+    return;
+  eel_fair_order_unqueued (&gate->fair, share.entry, share.expected_us);
+  eel_gate_share_removed (gate, item, 0, gate->use_at_us);
 }
 
 /*
@@ -177,30 +245,41 @@
   return item->deadline_us - now_us < (int64_t)(gate->hold_us / 2);
 }
 
-/* Expired items are returned first, whatever their rank. */
+/* Displaced and expired items are returned first, whatever their rank. */
 enum eel_gate_verdict
 eel_gate_next (struct eel_gate *gate,
                struct eel_gate_item *item,
                int64_t now_us)
 {
+  struct eel_gate_share share;
   uint32_t best = 0;
 
   if (gate->queued == 0)
     return EEL_GATE_QUEUE;
   for (uint32_t i = 0; i < gate->queued; i++)
-    if (is_expired (gate, &gate->queue[i], now_us))
+    if (gate->shares[i].displaced || is_expired (gate, &gate->queue[i], now_us)
+        || eel_gate_share_crowded_out (gate, i, now_us))
       {
-        remove_item (gate, i, item);
-        gate->refused++;
+        count_refused (gate, &gate->shares[i], now_us);
+        drop_item (gate, i, item);
         return EEL_GATE_REFUSE;
       }
   if (gate->running >= gate->limit
       || !eel_rate_limit_take (&gate->rate, now_us))
     return EEL_GATE_QUEUE;
   for (uint32_t i = 1; i < gate->queued; i++)
-    if (precedes (gate, &gate->queue[i], &gate->queue[best], now_us))
+    if (eel_gate_precedes (gate, &gate->queue[i], &gate->queue[best], now_us))
       best = i;
+  if (gate->shares[best].entry != EEL_FAIR_NONE)
+    best = eel_gate_share_pick (gate, best, now_us);
+  share = gate->shares[best];
   remove_item (gate, best, item);
+  if (share.entry != EEL_FAIR_NONE)
+    {
+      eel_fair_order_dequeued (&gate->fair, share.entry, share.expected_us,
+                               now_us);
+      eel_gate_share_removed (gate, item, 1, now_us);
+    }
   gate->running++;
   gate->started++;
   update_use (gate, now_us);
@@ -225,7 +304,7 @@
   for (uint32_t i = 0; i < gate->queued; i++)
     if (gate->queue[i].owner == owner)
       {
-        remove_item (gate, i, &item);
+        drop_item (gate, i, &item);
         return 1;
       }
   return 0;
