Order requests at the gate and the entry by the shares of teams

The executor counts a request on its team's share, by the team's cap, and tells with its answers which teams its gate refuses more than others (Eel-Crowded, at most four). Entries refuse a part of these before a byte goes out, with the longer Retry-After; repeats on a connection get the same draw for 0.3 s. Only where the configuration has teams. A running request's slot time replaces the expected one; a refund ends at the rank's virtual time, so that a team with short runs doesn't go ahead of one that becomes active.

--- a/src/admission/fair_order.c
+++ b/src/admission/fair_order.c
@@ -242,7 +242,8 @@
   start (order, team, start_us, expected_us, now_us);
 }
 
-/* Replaces the expected slot time by the actual one. */
+/* Replaces the expected slot time by the actual one, which lets the team start
+   no earlier than one that becomes active now. */
 void
 eel_fair_order_done (struct eel_fair_order *order,
                      uint64_t team,
@@ -252,6 +253,7 @@
   int32_t entry = find (order, team, rank);
   struct eel_fair_team *found;
   double expected_us;
+  double floor_us;
 
   if (entry == EEL_FAIR_NONE || order->teams[entry].running == 0)
     return;
@@ -259,7 +261,10 @@
   expected_us = found->running_us / found->running;
   found->running--;
   found->running_us -= expected_us;
-  found->virtual_us += to_virtual_us (found, held_us - expected_us);
+  floor_us = fmin (found->virtual_us, order->virtual_us[rank]);
+  found->virtual_us
+      = fmax (floor_us,
+              found->virtual_us + to_virtual_us (found, held_us - expected_us));
 }
 
 void
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -224,7 +224,7 @@
           header_names->caller_service, EEL_RELAY_CALL, EEL_RELAY_LOAD,
           EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, EEL_RELAY_CRASH,
           EEL_RELAY_CLEARED, EEL_RELAY_NEWS, EEL_RELAY_LIMIT, EEL_RELAY_LEAVING,
-          EEL_RELAY_TEAM,
+          EEL_RELAY_TEAM, EEL_RELAY_CROWDED,
           /* Without teams the list ends here. */
           call->has_teams ? header_names->authorization : NULL,
           header_names->team, NULL };
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -10,6 +10,7 @@
 #include "relay/crash_trial.h"
 #include "relay/relay.h"
 #include "relay/self_report.h"
+#include "relay/sharing.h"
 
 /* Longest idle time before a link is reused: later the endpoint may close it
    while the request is being sent.  The limit is lower for a request that must
@@ -37,6 +38,9 @@
   attempt->running = 0;
   eel_crash_trial_ended (attempt);
   eel_gate_done (&attempt->relay->gate, held_us, now_us);
+  if (attempt->call.team_id != EEL_NO_TEAM)
+    eel_gate_done_share (&attempt->relay->gate, attempt->call.team_id,
+                         attempt->call.rank, now_us - attempt->started_us);
   if (held_us >= 0)
     eel_metric_observe (attempt->relay->counters.hold, held_us);
 }
@@ -94,6 +98,8 @@
     eel_place_answered (attempt->instance, &load.endpoint, eel_clock_us ());
   eel_relay_record_load (attempt->relay, attempt->call.route,
                          attempt->call.route_target_us, &load);
+  if (attempt->call.has_teams)
+    eel_sharing_record_own (attempt->relay, attempt->call.service);
 }
 
 /* An answer bears the id of its request; only the first one on a connection can
@@ -277,6 +283,8 @@
 {
   attempt->queued = 0;
   attempt->answer_done = 1;
+  if (attempt->call.team_id != EEL_NO_TEAM)
+    eel_metric_add (attempt->relay->counters.gate_refused, 1);
   record_own_load (attempt);
   attempt->ops->fail (attempt->owner, EEL_FAILURE_REFUSED, "no slot in time");
 }
@@ -290,6 +298,8 @@
                                       .target_us = call->target_us,
                                       .deadline_us = call->deadline_us,
                                       .owner = attempt };
+  const struct eel_gate_share share = eel_sharing_of (attempt->relay, call);
+  struct eel_relay *relay = attempt->relay;
   const char *refusal = eel_attempt_direct (attempt);
   enum eel_attempt_failure failure;
 
@@ -306,13 +316,17 @@
       return;
     }
   eel_self_report_expect (attempt->relay, call->instance_id);
-  switch (eel_gate_offer (&attempt->relay->gate, &item, attempt->started_us))
+  switch (
+      eel_gate_offer_share (&relay->gate, &item, &share, attempt->started_us))
     {
     case EEL_GATE_START:
       eel_attempt_admitted (attempt);
       return;
     case EEL_GATE_QUEUE:
       attempt->queued = 1;
+      /* The place may have been that of another one, which is told. */
+      if (relay->gate.displaced > 0)
+        eel_relay_dispatch_queued (relay);
       return;
     case EEL_GATE_REFUSE:
       eel_attempt_refused (attempt);
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -10,6 +10,7 @@
 #include "relay/crash.h"
 #include "relay/relay.h"
 #include "relay/self_report.h"
+#include "relay/sharing.h"
 
 /* Longest idle time before a link is reused: later the peer may close it while
    the request is being sent. */
@@ -159,6 +160,8 @@
   if (!eel_attempt_id_fits (attempt, id) || head->framing == EEL_FRAMING_CLOSE)
     return 0;
   record_load (attempt, head);
+  if (attempt->call.has_teams)
+    eel_sharing_read (attempt->relay, attempt->call.service, head);
   eel_self_report_read_leaving (attempt->relay, head);
   eel_crash_read (attempt->relay, head);
   attempt->answer_started = 1;
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -8,6 +8,7 @@
 
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
+#include "relay/sharing.h"
 
 /* A longer body is not buffered, so the request can't be retried. */
 #define REPLAY_BYTES_MAX EEL_CRASH_BODY_BYTES
@@ -232,8 +233,7 @@
   eel_call_costs_count_call (&relay->call_costs, route->id);
   eel_service_retries_request (&relay->retries, entry->call.service,
                                entry->arrived_us);
-  if (!eel_entry_gate_admit (&relay->entry_gate, route->id, entry->call.rank,
-                             entry->arrived_us, &relay->rng))
+  if (eel_sharing_refuses (entry))
     {
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
       return;
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -3,27 +3,23 @@
 #include <string.h>
 
 #include "eelgrasslatch/place.h"
+#include "eelgrasslatch/retry_after.h"
 #include "internal/task.h"
 #include "relay/crash.h"
 #include "relay/entry.h"
+#include "relay/sharing.h"
 
 /* An answer up to this long is buffered until it is complete, so that a failure
    on the way can still be retried. */
 #define HELD_BYTES_MAX 65536
 /* Reading the answer pauses while more than this waits for the caller. */
 #define ANSWER_PENDING_BYTES_MAX 262144
-/* Retry-After, as a share of the route's target time. */
-#define RETRY_AFTER_PERCENT 30
 /* Charged to the retry budget for a run that is repeated, since it also repeats
    its calls to other services; any other retry costs 1000. */
 #define RERUN_COST_MILLI 3000
 /* Reported when an endpoint sheds: it is full even if its node counts free
    slots. */
 #define SHED_PRESSURE_MILLI 2000.0
-/* Extends Retry-After in proportion to the refused share of the route, since a
-   stronger overload is likely to last longer. */
-#define RETRY_AFTER_REFUSE_FACTOR 4.0
-#define RETRY_AFTER_MIN_US (100 * EEL_US_PER_MS)
 
 /* The answer has no body. */
 void
@@ -46,23 +42,20 @@
   eel_exchange_end (exchange);
 }
 
-/* Adds jitter (half to one and a half times the base) so that retries don't
-   arrive together, and returns at most a third of the remaining time. */
+/* Longer for teams above their share, and only for them, than for others of the
+   route. */
 static int64_t
 retry_after_us (struct eel_entry *entry)
 {
-  int64_t target_us = entry->call.target_us - entry->arrived_us;
-  double refuse = eel_entry_gate_refused_share (&entry->relay->entry_gate,
-                                                entry->call.route);
-  int64_t base_us = (int64_t)((double)target_us * RETRY_AFTER_PERCENT / 100
-                              * (1 + RETRY_AFTER_REFUSE_FACTOR * refuse));
-  int64_t left_us = entry->call.deadline_us - eel_clock_us ();
-
-  base_us = base_us / 2
-            + (int64_t)(eel_rng_unit (&entry->relay->rng) * (double)base_us);
-  if (base_us < RETRY_AFTER_MIN_US)
-    base_us = RETRY_AFTER_MIN_US;
-  return base_us < left_us / 3 ? base_us : left_us / 3;
+  struct eel_relay *relay = entry->relay;
+  double route_share
+      = eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route);
+  double team_share = eel_sharing_refused_share (relay, &entry->call);
+
+  return eel_retry_after_us (
+      entry->call.target_us - entry->arrived_us,
+      entry->call.deadline_us - eel_clock_us (),
+      team_share > route_share ? team_share : route_share, &relay->rng);
 }
 
 /* 503 and 429 state that the request was not run, so they are replaced by an
@@ -107,7 +100,8 @@
   g_message (
       "event=not_served request=%s error=%s status=%u service=%s "
       "rank=%u tried=%u arrivals=%u may_have_run=%u "
-      "after_ms=%" PRId64 " left_ms=%" PRId64 " pressure=%.0f refuse=%.2f",
+      "after_ms=%" PRId64 " left_ms=%" PRId64 " pressure=%.0f refuse=%.2f "
+      "team=%s above_share=%.2f",
       entry->call.request_id != NULL ? entry->call.request_id : "-",
       eel_error_info (reported)->name, status,
       eel_service_name (&relay->names, entry->call.service), entry->call.rank,
@@ -115,7 +109,9 @@
       (now_us - entry->arrived_us) / EEL_US_PER_MS,
       (entry->call.deadline_us - now_us) / EEL_US_PER_MS,
       eel_entry_gate_pressure (&relay->entry_gate, entry->call.route, now_us),
-      eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route));
+      eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route),
+      entry->call.team != NULL ? entry->call.team : "-",
+      eel_sharing_refused_share (relay, &entry->call));
   if (reported == EEL_ERROR_LEAVING)
     after_us = EEL_ENTRY_LEAVING_RETRY_US;
   if (entry->tried_count > 0)
@@ -130,13 +126,10 @@
 static struct evbuffer *
 answer_lines (const struct eel_entry *entry, const struct eel_head *head)
 {
-  const char *const skip[] = { EEL_RELAY_LOAD,
-                               EEL_RELAY_REFUSED,
-                               EEL_RELAY_CRASHED,
-                               EEL_RELAY_CRASH,
-                               EEL_RELAY_CLEARED,
-                               EEL_RELAY_LEAVING,
-                               NULL };
+  const char *const skip[] = { EEL_RELAY_LOAD,    EEL_RELAY_REFUSED,
+                               EEL_RELAY_CRASHED, EEL_RELAY_CRASH,
+                               EEL_RELAY_CLEARED, EEL_RELAY_LEAVING,
+                               EEL_RELAY_CROWDED, NULL };
   struct evbuffer *lines = evbuffer_new ();
 
   (void)entry;
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -11,6 +11,7 @@
 #include "relay/crash_news.h"
 #include "relay/relay.h"
 #include "relay/self_report.h"
+#include "relay/sharing.h"
 
 /*
  * Runs requests that entry nodes forward to this node's endpoint.  The answer
@@ -68,7 +69,10 @@
                          load.endpoint.fault_milli, load.endpoint.hold_us,
                          load.endpoint.has_limit, load.endpoint.limit_milli);
   if (lines != NULL)
-    eel_crash_write (relay, fingerprint, lines);
+    {
+      eel_sharing_write (relay, lines);
+      eel_crash_write (relay, fingerprint, lines);
+    }
   return lines;
 }
 
@@ -105,13 +109,10 @@
 static void
 on_head (void *owner, const struct eel_head *head)
 {
-  const char *const skip[] = { EEL_RELAY_LOAD,
-                               EEL_RELAY_REFUSED,
-                               EEL_RELAY_CRASHED,
-                               EEL_RELAY_CRASH,
-                               EEL_RELAY_CLEARED,
-                               EEL_RELAY_LEAVING,
-                               NULL };
+  const char *const skip[] = { EEL_RELAY_LOAD,    EEL_RELAY_REFUSED,
+                               EEL_RELAY_CRASHED, EEL_RELAY_CRASH,
+                               EEL_RELAY_CLEARED, EEL_RELAY_LEAVING,
+                               EEL_RELAY_CROWDED, NULL };
   struct run *run = owner;
   struct evbuffer *lines = load_header_lines (run->relay, run->call.route,
                                               run->attempt->call.fingerprint);
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -142,6 +142,10 @@
            "Peers' connections that ended with an answer unsent.");
   COUNTER (turned_away, "eel_relay_turned_away_total",
            "Callers' new connections that were closed at the limit.");
+  COUNTER (above_share, "eel_relay_above_share_total",
+           "Requests refused at the entry: team above its share.");
+  COUNTER (gate_refused, "eel_relay_team_refused_total",
+           "Requests of teams that got no slot in time.");
 #undef COUNTER
   counters->latency = eel_metrics_get (metrics, EEL_METRIC_HISTOGRAM,
                                        "eel_relay_latency_seconds", "",
@@ -185,6 +189,7 @@
   relay->service = eel_service_names_intern (&relay->names, config->service);
   eel_gate_init (&relay->gate, INITIAL_SLOTS);
   eel_entry_gate_init (&relay->entry_gate);
+  eel_crowding_init (&relay->crowding);
   eel_call_costs_init (&relay->call_costs);
   eel_fault_rate_init (&relay->fault_rate);
   eel_crash_watch_init (&relay->crash_watch, eel_rng_next (&relay->rng));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "eelgrasslatch/crash_watch.h"
+#include "eelgrasslatch/crowding.h"
 #include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/fault_rate.h"
@@ -65,6 +66,9 @@
 #define EEL_RELAY_LEAVING "Eel-Leaving"
 /* The request's team, where teams are in force; empty: none. */
 #define EEL_RELAY_TEAM "Eel-Team"
+/* A team above its share at the endpoint's gate: id, rank, excess, slot time
+   asked for and got, in thousandths.  Repeated for each. */
+#define EEL_RELAY_CROWDED "Eel-Crowded"
 
 #define EEL_RELAY_QUARANTINE_MAX 1024
 #define EEL_RELAY_CLEARED_MAX 64
@@ -100,6 +104,10 @@
   struct eel_metric *cut_peers;
   /* Connections of callers that were closed at the limit. */
   struct eel_metric *turned_away;
+  /* Requests refused at the entry because their team is above its share. */
+  struct eel_metric *above_share;
+  /* Requests of teams that were refused at this node's gate. */
+  struct eel_metric *gate_refused;
   struct eel_metric *latency;
   struct eel_metric *hold;
 };
@@ -116,6 +124,17 @@
   uint64_t revision;
 };
 
+struct eel_sharing
+{
+  /* Table that mean_rate was computed of. */
+  const struct eel_team_table *teams;
+  uint64_t version;
+  double mean_rate;
+  /* Lines on teams above their share in this interval. */
+  int64_t lines_since_us;
+  uint32_t lines;
+};
+
 struct eel_relay
 {
   struct event_base *base;
@@ -130,6 +149,9 @@
   struct eel_directory directory;
   struct eel_gate gate;
   struct eel_entry_gate entry_gate;
+  /* Teams above their share elsewhere, and this node's part in it. */
+  struct eel_crowding crowding;
+  struct eel_sharing sharing;
   struct eel_call_costs call_costs;
   struct eel_crash_watch crash_watch;
   struct eel_quarantine quarantine;
