--- a/src/admission/fair_excess.c
+++ b/src/admission/fair_excess.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "internal/fair_order.h"
@@ -9,6 +10,8 @@
 /* Requests refused in the window below which a team is not said to be above its
  * share. */
 #define REFUSED_MIN 3.0
+/* Greatest ratio that is told. */
+#define RATIO_MAX 1000.0
 /* A lower excess is noise, or left to the gate. */
 #define EXCESS_MIN_MILLI 200
 
@@ -32,6 +35,12 @@
   return count + 1;
 }
 
+static uint32_t
+to_milli (double ratio)
+{
+  return (uint32_t)(1000 * fmin (ratio, RATIO_MAX));
+}
+
 /* Fills excess and returns true when the team is refused more than the others
    of its rank, whose sums are given. */
 static int
@@ -50,9 +59,9 @@
   excess->team = team->team;
   excess->rank = team->rank;
   excess->excess_milli = (uint32_t)(1000 * (1 - got / others_got));
-  excess->asked_milli = (uint32_t)(1000 * team->asked_us / all_got_us);
+  excess->asked_milli = to_milli (team->asked_us / all_got_us);
   excess->got_milli
-      = (uint32_t)(1000 * (team->asked_us - team->refused_us) / all_got_us);
+      = to_milli ((team->asked_us - team->refused_us) / all_got_us);
   return excess->excess_milli >= EXCESS_MIN_MILLI;
 }
 
