--- a/include/eelgrasslatch/fair_order.h
+++ b/include/eelgrasslatch/fair_order.h
@@ -69,6 +69,8 @@
   double virtual_us[EEL_FAIR_RANKS];
   double advance_us[EEL_FAIR_RANKS];
   int64_t advanced_at_us[EEL_FAIR_RANKS];
+  /* EWMA of the time for which requests hold a slot, by rank; 0: unknown. */
+  double hold_us[EEL_FAIR_RANKS];
   /* When a request was refused last; INT64_MIN: never. */
   int64_t refused_at_us[EEL_FAIR_RANKS];
   int64_t last_refused_us;
--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -46,7 +46,8 @@
   /* 0: none. */
   uint64_t team;
   uint32_t weight_milli;
-  /* Time that it is expected to hold a slot; 0: the gate's mean. */
+  /* Time that it is expected to hold a slot; 0: the mean of requests of teams
+     of its rank. */
   double expected_us;
   /* Set by the gate: entry of the fair order, and that the request has to be
      refused because its place went to another. */
--- a/src/admission/fair_order.c
+++ b/src/admission/fair_order.c
@@ -7,6 +7,8 @@
 
 /* Time constant of the slot time asked for and refused. */
 #define WINDOW_US (500.0 * 1000.0)
+/* EWMA weight of one request in the hold time. */
+#define HOLD_WEIGHT 0.05
 /* Time without requests after which a team's entry can be reused. */
 #define IDLE_US (2 * EEL_US_PER_S)
 
@@ -261,6 +263,8 @@
   expected_us = found->running_us / found->running;
   found->running--;
   found->running_us -= expected_us;
+  order->hold_us[rank] += (order->hold_us[rank] > 0 ? HOLD_WEIGHT : 1)
+                          * (held_us - order->hold_us[rank]);
   floor_us = fmin (found->virtual_us, order->virtual_us[rank]);
   found->virtual_us
       = fmax (floor_us,
--- a/src/admission/gate_share.c
+++ b/src/admission/gate_share.c
@@ -27,6 +27,8 @@
   own = *share;
   own.displaced = 0;
   own.ahead = 0;
+  if (own.expected_us <= 0)
+    own.expected_us = gate->fair.hold_us[item->rank];
   if (own.expected_us <= 0)
     own.expected_us = gate->hold_us;
   own.entry = eel_fair_order_ask (&gate->fair, own.team, item->rank,
--- a/tests/unit/test_fair_order.cc
+++ b/tests/unit/test_fair_order.cc
@@ -142,6 +142,16 @@
   EXPECT_NEAR (of_second, 15, 1);
 }
 
+// Guards against an expected time that short calls without a team lower.
+TEST_F (fair_gate, ExpectedTimeIsThatOfTeams)
+{
+  offer (1, 1, 0, 60000, 2, 1000, 0);
+  next (0);
+  eel_gate_done_share (gate.get (), 1, 2, 900 * MS);
+  offer (1, 1, 0, 60000, 2, 1000, 0);
+  EXPECT_EQ (gate->shares[0].expected_us, 900e3);
+}
+
 // Guards against a share that goes before the rank, or before a target that can
 // still be met.
 TEST_F (fair_gate, RankAndReachableTargetGoFirst)
