--- a/tests/run/test_cli.sh
+++ b/tests/run/test_cli.sh
@@ -28,7 +28,9 @@
 printf '{}' >"$dir/bad.json"
 expect 78 "$BUILD/eelgrasslatch-platformd" --place=finish --check-config "$dir/bad.json"
 expect 64 "$BUILD/eelgrasslatch-platformd" --leave-domain=sometimes
-grep -q "^--leave-domain: use or flow, not sometimes$" "$dir/out"
+grep -q "^--leave-domain: 'sometimes' is neither use nor flow$" "$dir/out"
+expect 64 "$BUILD/eelgrasslatch-platformd" --share=equal
+grep -q "^--share: 'equal' is neither targets nor teams$" "$dir/out"
 expect 64 "$BUILD/eelgrasslatch-platformd" --leave-domain=flow --kilobyte-cost=-1
 expect 64 "$BUILD/eelgrasslatch-platformd" --kilobyte-cost=nan
 expect 0 "$BUILD/eelgrasslatchctl" --version
