--- a/tests/unit/test_fair_order.cc
+++ b/tests/unit/test_fair_order.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <gtest/gtest.h>
 #include <memory>
 #include <vector>
@@ -285,12 +286,24 @@
              : EEL_GATE_QUEUE;
 }
 
+// A queued item is refused half a hold time before its deadline, or 20 ms or a
+// tenth of its time, whichever is less, where that is earlier.
+int64_t
+expected_expiry_us (const struct eel_gate &gate,
+                    const struct eel_gate_item &item)
+{
+  int64_t way_us
+      = std::min ((item.deadline_us - item.arrived_us) / 10, 20 * MS);
+
+  return item.deadline_us - std::max (way_us, (int64_t)(gate.hold_us / 2));
+}
+
 enum eel_gate_verdict
 expected_next (const struct eel_gate &gate, int64_t now_us, uint32_t *index)
 {
   *index = 0;
   for (uint32_t i = 0; i < gate.queued; i++)
-    if (gate.queue[i].deadline_us - now_us < (int64_t)(gate.hold_us / 2))
+    if (now_us > expected_expiry_us (gate, gate.queue[i]))
       {
         *index = i;
         return EEL_GATE_REFUSE;
