--- a/tests/unit/fair_world.h
+++ b/tests/unit/fair_world.h
@@ -206,7 +206,8 @@
   send (size_t index, int64_t now_us)
   {
     call &each = calls[index];
-    const struct eel_place_query query = { 0, each.tried, each.tried_count, 0, 0 };
+    const struct eel_place_query query
+        = { 0, each.tried, each.tried_count, 0, 0 };
     struct eel_instance *picked
         = each.tried_count == 3
               ? nullptr
