--- a/src/relay/entry_admit.c
+++ b/src/relay/entry_admit.c
@@ -1,6 +1,7 @@
 #include "eelgrasslatch/place.h"
 #include "internal/task.h"
 #include "relay/entry.h"
+#include "relay/sharing.h"
 
 /* Offers the request to an endpoint unless requests of its content crash them.
    May free the entry. */
@@ -40,8 +41,7 @@
   eel_call_costs_count_call (&relay->call_costs, entry->call.route);
   eel_service_retries_request (&relay->retries, entry->call.service,
                                entry->arrived_us);
-  if (!eel_entry_gate_admit (&relay->entry_gate, entry->call.route,
-                             entry->call.rank, eel_clock_us (), &relay->rng))
+  if (eel_sharing_refuses (entry))
     {
       eel_entry_answer_error (entry, EEL_ERROR_OVERLOADED);
       return;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "eelgrasslatch/crash_watch.h"
+#include "eelgrasslatch/crowding.h"
 #include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/domain_flow.h"
 #include "eelgrasslatch/entry_gate.h"
@@ -70,6 +71,9 @@
 #define EEL_RELAY_LEAVING "Eel-Leaving"
 /* The request's team, where teams are in force; empty: none. */
 #define EEL_RELAY_TEAM "Eel-Team"
+/* A team above its share at the endpoint's gate: id, rank, excess, slot time
+   asked for and got, in thousandths.  Repeated for each. */
+#define EEL_RELAY_CROWDED "Eel-Crowded"
 
 #define EEL_RELAY_QUARANTINE_MAX 1024
 #define EEL_RELAY_CLEARED_MAX 64
@@ -92,6 +96,8 @@
   /* Age of the knowledge of teams beyond which no key is served; 0: any age
      will do. */
   int64_t teams_max_age_us;
+  /* Order requests of one rank by the shares of their teams. */
+  uint8_t fair_teams;
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
   struct eel_domain_flow_config domain_flow;
@@ -118,6 +124,10 @@
   struct eel_metric *cut_peers;
   /* Connections of callers that were closed at the limit. */
   struct eel_metric *turned_away;
+  /* Requests refused at the entry because their team is above its share. */
+  struct eel_metric *above_share;
+  /* Requests of teams that were refused at this node's gate. */
+  struct eel_metric *gate_refused;
   struct eel_metric *latency;
   struct eel_metric *hold;
   /* Present speed of this node's endpoint. */
@@ -138,6 +148,17 @@
   uint64_t revision;
 };
 
+struct eel_sharing
+{
+  /* Table that mean_rate was computed of. */
+  const struct eel_team_table *teams;
+  uint64_t version;
+  double mean_rate;
+  /* Lines on teams above their share in this interval. */
+  int64_t lines_since_us;
+  uint32_t lines;
+};
+
 struct eel_relay
 {
   struct event_base *base;
@@ -164,6 +185,9 @@
   /* Of this node's endpoint. */
   struct eel_run_times run_times;
   struct eel_entry_gate entry_gate;
+  /* Teams above their share elsewhere, and this node's part in it. */
+  struct eel_crowding crowding;
+  struct eel_sharing sharing;
   struct eel_call_costs call_costs;
   struct eel_crash_watch crash_watch;
   struct eel_quarantine quarantine;
