Leave room for two moves of all nodes in a window of the caps

Buckets filled 5% faster than the rate and stocks lived 400 ms; now 1.5% and 300 ms, so that the sum holds two moves.

--- a/include/eelgrasslatch/team_cap.h
+++ b/include/eelgrasslatch/team_cap.h
@@ -34,7 +34,7 @@
 /* Tokens asked for in one message for one team. */
 #define EEL_CAP_TOKENS_MAX 4096
 /* Life of a token, from when it was asked for. */
-#define EEL_CAP_TOKEN_LIFE_US (400 * EEL_US_PER_MS)
+#define EEL_CAP_TOKEN_LIFE_US (300 * EEL_US_PER_MS)
 /* A node counts for a holder that has heard from it within this time. */
 #define EEL_CAP_HEARD_US (400 * EEL_US_PER_MS)
 /* Messages that wait for an answer, of one group. */
--- a/src/admission/team_cap.c
+++ b/src/admission/team_cap.c
@@ -9,7 +9,7 @@
 #define TEAM_WAYS 8
 #define RECENT_S 1.0
 /* Requests that tokens are kept for, in seconds of the team's recent rate. */
-#define STOCK_S 0.3
+#define STOCK_S 0.2
 /* A team that its holder has no token for is asked for again after this time at
    the latest, and not before the other. */
 #define LIMITED_MAX_US (100 * EEL_US_PER_MS)
--- a/src/admission/team_cap_holder.c
+++ b/src/admission/team_cap_holder.c
@@ -9,7 +9,7 @@
 #define BUCKET_WAYS 8
 /* Shares of the tolerance by which buckets exceed the cap, for tokens that
    expire unused and for arrivals that are not even. */
-#define RATE_MARGIN 0.2
+#define RATE_MARGIN 0.06
 #define SLACK_MARGIN 0.25
 #define UNMET_DECAY_S 0.5
 #define UPDATE_INTERVAL_US (10 * EEL_US_PER_MS)
