Place services shared by all domains by use

Such services are placed as before now, so deployments with one endpoint a domain are served as before.

ServiceWithOneEndpointAtHomeIsPlacedInAllDomains asks for it.

--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -318,11 +318,15 @@
                       struct eel_rng *rng,
                       uint8_t *is_guest)
 {
+  struct eel_place_query in_domain = *query;
   uint8_t domain
       = eel_domain_flow_choose (flow, directory, query, request, now_us, rng);
 
+  /* What is placed in all domains is placed as without the flow. */
+  if (domain == EEL_ANY_DOMAIN)
+    in_domain.by_finish = 0;
   *is_guest = domain != EEL_HOME_DOMAIN && domain < EEL_DOMAINS_MAX;
   return domain == EEL_NO_DOMAIN
              ? NULL
-             : eel_place_pick_in (directory, query, domain, now_us, rng);
+             : eel_place_pick_in (directory, &in_domain, domain, now_us, rng);
 }
--- a/tests/unit/test_domain_flow.cc
+++ b/tests/unit/test_domain_flow.cc
@@ -288,6 +288,29 @@
   EXPECT_EQ (choose (), EEL_HOME_DOMAIN);
   eel_directory_remove (&directory, "e3", 2, EEL_US_PER_S);
   EXPECT_EQ (choose (), EEL_ANY_DOMAIN);
+  // By use, also where endpoints are compared by the end of the run: e0 is idle
+  // and slow, the others are fast and nearly full.
+  for (uint32_t endpoint = 0; endpoint < 3; endpoint++)
+    {
+      struct eel_instance_report report = {};
+
+      report.use_milli = endpoint == 0 ? 0 : 850;
+      report.hold_us = 50000;
+      report.speed_milli = endpoint == 0 ? 100 : 1000;
+      report.run_us = endpoint == 0 ? 40000 : 20000;
+      report.route = 7;
+      eel_place_answered (&storage[endpoint], &report, EEL_US_PER_S);
+    }
+  struct eel_place_query query = {};
+  uint8_t is_guest = 1;
+
+  query.by_finish = 1;
+  query.route = 7;
+  EXPECT_STREQ (eel_domain_flow_pick (flow.get (), &directory, &query, &request,
+                                      EEL_US_PER_S, &rng, &is_guest)
+                    ->id,
+                "e0");
+  EXPECT_EQ (is_guest, 0);
 }
 
 // Requests leave endpoints that shed them for those that don't, but stay where
