Count nodes behind a partition until their entries are long gone

A node whose entry lapses without having been withdrawn now counts for ten minutes at those that hold it to be removed, and nine at those that keep it; it is asked for tokens after the listed ones. Lines for the share that a node holds and for nodes that count without an entry, a gauge of the latter.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -89,7 +89,8 @@
      id apart. */
   int64_t born_ms;
   int64_t cold_until_us;
-  /* When this node learned of the newest registration, and of its loss. */
+  /* When this node learned of the newest registration, and of its loss; 0: it
+     is not lost, or was withdrawn. */
   int64_t registered_us;
   int64_t lapsed_us;
 
--- a/include/eelgrasslatch/team_cap.h
+++ b/include/eelgrasslatch/team_cap.h
@@ -29,6 +29,8 @@
 /* Nodes that may be asked for a group, the first before the others; the node
    itself is the last. */
 #define EEL_CAP_CANDIDATES_MAX 7
+/* Of these, lapsed ones. */
+#define EEL_CAP_CANDIDATES_LAPSED_MAX 2
 /* Teams in one message. */
 #define EEL_CAP_ENTRIES_MAX 64
 /* Tokens asked for in one message for one team. */
@@ -64,12 +66,14 @@
   double slack;
 };
 
-/* Nodes that are listed, as one node knows them. */
+/* Nodes that may admit requests, as one node knows them. */
 struct eel_cap_view
 {
-  /* IPv4 in network order, each once, ascending. */
+  /* IPv4 in network order, each once, ascending; and those that are listed. */
   uint32_t nodes[EEL_CAP_NODES_MAX];
   uint32_t count;
+  uint32_t listed[EEL_CAP_NODES_MAX];
+  uint32_t listed_count;
   uint32_t group_count;
   uint32_t witnesses[EEL_CAP_WITNESSES_MAX];
   uint32_t witness_count;
@@ -115,10 +119,14 @@
   struct eel_cap_grant grants[EEL_CAP_ENTRIES_MAX];
 };
 
-/* Takes a copy of the list, in any order and with repetitions. */
+/* Takes copies of the nodes that are listed and of those that have lapsed, in
+   any order and with repetitions.  Lapsed ones count as nodes, and are asked
+   after the listed ones. */
 void eel_cap_view_set (struct eel_cap_view *view,
-                       const uint32_t *nodes,
-                       uint32_t count);
+                       const uint32_t *listed,
+                       uint32_t listed_count,
+                       const uint32_t *lapsed,
+                       uint32_t lapsed_count);
 /* Number of groups for so many nodes: 1 up to 256, a power of two. */
 uint32_t eel_cap_group_count (uint32_t nodes);
 uint32_t eel_cap_group_of (uint64_t team, uint32_t group_count);
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -123,6 +123,7 @@
   known->domain = instance->domain;
   known->cold_until_us = instance->cold_until_us;
   known->registered_us = now_us;
+  known->lapsed_us = 0;
   return 1;
 }
 
@@ -150,12 +151,11 @@
       || known->state == EEL_INSTANCE_REMOVED)
     return 0;
   known->revision = revision;
+  if (known->state == EEL_INSTANCE_READY && !known->leaving)
+    known->lapsed_us = now_us;
   if (known->state == EEL_INSTANCE_READY
       && may_lapse (directory, known, now_us))
-    {
-      known->state = EEL_INSTANCE_LAPSED;
-      known->lapsed_us = now_us;
-    }
+    known->state = EEL_INSTANCE_LAPSED;
   else if (known->state != EEL_INSTANCE_LAPSED)
     known->state = EEL_INSTANCE_REMOVED;
   return 1;
--- a/src/relay/caps.c
+++ b/src/relay/caps.c
@@ -283,34 +283,3 @@
   /* Nothing is waited for any more. */
   eel_caps_serve_waiting (relay->caps, eel_clock_us ());
 }
-
-void
-eel_caps_nodes_changed (struct eel_relay *relay)
-{
-  struct eel_caps *caps = relay->caps;
-  struct eel_cap_view *view;
-  uint32_t nodes[EEL_CAP_NODES_MAX];
-  uint32_t count = 0;
-
-  if (caps == NULL)
-    return;
-  /* A draining endpoint's node serves callers until it stops. */
-  for (uint32_t i = 0; i < relay->directory.count && count < EEL_CAP_NODES_MAX;
-       i++)
-    if (relay->directory.instances[i].state != EEL_INSTANCE_REMOVED)
-      nodes[count++] = relay->directory.instances[i].ip;
-  view = calloc (1, sizeof *view);
-  if (view == NULL)
-    return;
-  eel_cap_view_set (view, nodes, count);
-  if (view->count != caps->view.count
-      || memcmp (view->nodes, caps->view.nodes,
-                 view->count * sizeof view->nodes[0])
-             != 0)
-    {
-      caps->view = *view;
-      eel_cap_holder_view_changed (&caps->holder, eel_clock_us ());
-      eel_team_cap_view_changed (&caps->cap, eel_clock_us ());
-    }
-  free (view);
-}
--- a/src/relay/caps.h
+++ b/src/relay/caps.h
@@ -41,6 +41,7 @@
   struct eel_metric *holders_lost;
   struct eel_metric *granted;
   struct eel_metric *share;
+  struct eel_metric *lapsed;
 };
 
 struct eel_caps
@@ -59,6 +60,9 @@
   uint8_t serving;
   struct eel_caps_limited limited[EEL_CAPS_LIMITED_MAX];
   int64_t reported_us;
+  /* As told in a line last. */
+  uint32_t share_told_milli;
+  uint32_t lapsed_nodes;
   struct eel_caps_counters counters;
 };
 
@@ -67,6 +71,8 @@
 void eel_caps_teams_changed (struct eel_relay *relay);
 /* Call it after a change of the directory. */
 void eel_caps_nodes_changed (struct eel_relay *relay);
+/* Drops nodes that lapsed long ago; call it about once a second. */
+void eel_caps_review_nodes (struct eel_caps *caps);
 void eel_caps_free (struct eel_caps *caps);
 /* Sends what is due and serves the requests that wait. */
 void eel_caps_run (struct eel_caps *caps);
--- a/src/relay/caps_report.c
+++ b/src/relay/caps_report.c
@@ -6,6 +6,8 @@
 
 /* A team is limited until no request of it was refused for so long. */
 #define LIMIT_END_US (5 * EEL_US_PER_S)
+/* Changes of the share that are told. */
+#define SHARE_CHANGE_MILLI 100
 #define REPORT_INTERVAL_US (1 * EEL_US_PER_S)
 
 void
@@ -33,6 +35,8 @@
           "Tokens granted by this node.");
   METRIC (share, EEL_METRIC_GAUGE, "eel_caps_heard_milli",
           "Share of nodes that ask this one, in thousandths.");
+  METRIC (lapsed, EEL_METRIC_GAUGE, "eel_caps_lapsed_nodes",
+          "Nodes that count although their entries have lapsed.");
 #undef METRIC
 }
 
@@ -96,6 +100,21 @@
     }
 }
 
+/* Tells how much of the caps this node holds, while it holds any. */
+static void
+report_share (struct eel_caps *caps)
+{
+  uint32_t milli = (uint32_t)(caps->holder.groups[0].share * 1000);
+  uint32_t told = caps->share_told_milli;
+  uint32_t change = milli > told ? milli - told : told - milli;
+
+  if (change < SHARE_CHANGE_MILLI && (milli == 0) == (told == 0))
+    return;
+  caps->share_told_milli = milli;
+  g_message ("event=caps_share group=0 milli=%u was=%u nodes=%u listed=%u",
+             milli, told, caps->view.count, caps->view.listed_count);
+}
+
 void
 eel_caps_report (struct eel_caps *caps, int64_t now_us)
 {
@@ -103,6 +122,8 @@
     return;
   caps->reported_us = now_us;
   report_limited (caps, now_us);
+  report_share (caps);
+  eel_caps_review_nodes (caps);
   eel_metric_set (caps->counters.waiting, caps->waiting.length);
   eel_metric_set (caps->counters.holders_lost, caps->cap.holders_lost);
   eel_metric_set (caps->counters.granted, caps->holder.granted);
--- a/tests/unit/cap_world.cc
+++ b/tests/unit/cap_world.cc
@@ -170,13 +170,35 @@
 cap_world::update_view (cap_world_node &node)
 {
   std::vector<uint32_t> listed;
+  std::vector<uint32_t> lapsed;
 
   if (!node.up)
     return;
   for (const auto &other : nodes)
-    if (other->listed)
-      listed.push_back (other->address);
-  eel_cap_view_set (&node.view, listed.data (), (uint32_t)listed.size ());
+    {
+      struct eel_instance entry = {};
+
+      // A node that is cut off itself doesn't take it for a removal.
+      if (other->lapsed)
+        entry.state = cut_off[node.address - 1] ? EEL_INSTANCE_LAPSED
+                                                : EEL_INSTANCE_REMOVED;
+      entry.lapsed_us = other->lapsed_us;
+      if (!other->listed)
+        continue;
+      switch (eel_cap_standing_of (&entry, now_us))
+        {
+        case EEL_CAP_LISTED:
+          listed.push_back (other->address);
+          break;
+        case EEL_CAP_LAPSED:
+          lapsed.push_back (other->address);
+          break;
+        case EEL_CAP_GONE:
+          break;
+        }
+    }
+  eel_cap_view_set (&node.view, listed.data (), (uint32_t)listed.size (),
+                    lapsed.data (), (uint32_t)lapsed.size ());
   eel_cap_holder_view_changed (&node.holder, now_us);
   eel_team_cap_view_changed (&node.cap, now_us);
 }
@@ -201,7 +223,7 @@
   node.up = true;
   node.frozen_until_us = 0;
   node.view = {};
-  eel_cap_view_set (&node.view, nullptr, 0);
+  eel_cap_view_set (&node.view, nullptr, 0, nullptr, 0);
   eel_cap_holder_init (&node.holder, &node.view, &tolerance);
   eel_team_cap_init (&node.cap, &node.view, node.address,
                      (uint32_t)eel_rng_next (&rng), now_us);
--- a/tests/unit/cap_world.h
+++ b/tests/unit/cap_world.h
@@ -39,6 +39,9 @@
   // Disturbances over the whole time.
   uint32_t cuts = 0;
   int64_t cut_max_us = 5 * EEL_US_PER_S;
+  // Entries of the nodes that are cut off lapse this long after the cut, and
+  // the others remove them; 0: they stay.
+  int64_t lapse_us = 0;
   uint32_t one_way_cuts = 0;
   uint32_t freezes = 0;
   uint32_t restarts = 0;
--- a/tests/unit/cap_world_faults.cc
+++ b/tests/unit/cap_world_faults.cc
@@ -19,11 +19,39 @@
       cut_off[i] = by_domain ? nodes[i]->domain == 0 : unit () < share;
     cut_from = !one_way || unit () < 0.5;
     cut_to = !one_way || !cut_from;
-    after ((int64_t)(unit () * (double)config.cut_max_us),
-           [this] { cut_from = cut_to = false; });
+    if (config.lapse_us > 0)
+      after (config.lapse_us, [this, cut = ++cut_number] { lapse (cut); });
+    after ((int64_t)(unit () * (double)config.cut_max_us), [this] {
+      cut_from = cut_to = false;
+      end_lapse ();
+    });
   });
 }
 
+void
+cap_world::lapse (uint32_t cut)
+{
+  if (!(cut_from || cut_to) || cut != cut_number)
+    return;
+  for (size_t i = 0; i < nodes.size (); i++)
+    if (cut_off[i])
+      {
+        nodes[i]->lapsed = true;
+        nodes[i]->lapsed_us = now_us;
+      }
+  list_changed ();
+}
+
+// The entries are back within the time that lists take to change.
+void
+cap_world::end_lapse ()
+{
+  for (auto &node : nodes)
+    node->lapsed = false;
+  if (config.lapse_us > 0)
+    list_changed ();
+}
+
 void
 cap_world::freeze (cap_world_node &node, int64_t length_us)
 {
--- a/tests/unit/cap_world_random.cc
+++ b/tests/unit/cap_world_random.cc
@@ -31,5 +31,6 @@
   config.lost_holders = below (4) == 0 ? 1 : 0;
   config.joins = below (4) == 0 ? below (10) : 0;
   config.lowered = below (4) == 0 ? 0.2 + 0.6 * eel_rng_unit (&rng) : 1;
+  config.lapse_us = below (2) == 0 ? 0 : 3 * EEL_US_PER_S;
   return config;
 }
--- a/tests/unit/cap_world_state.h
+++ b/tests/unit/cap_world_state.h
@@ -8,6 +8,7 @@
 extern "C"
 {
 #include "eelgrasslatch/cap_message.h"
+#include "eelgrasslatch/cap_standing.h"
 }
 
 // What the rule lets run above the cap.
@@ -35,6 +36,9 @@
   struct eel_team_cap cap = {};
   bool up = false;
   bool listed = false;
+  // Its entry has lapsed.
+  bool lapsed = false;
+  int64_t lapsed_us = 0;
   int64_t frozen_until_us = 0;
   // Counts restarts, so that a stopped node's timers end.
   uint32_t life = 0;
@@ -95,6 +99,7 @@
   std::vector<uint8_t> cut_off;
   bool cut_from = false;
   bool cut_to = false;
+  uint32_t cut_number = 0;
 
   explicit cap_world (const cap_world_config &c) : config (c)
   {
@@ -129,6 +134,8 @@
   void add_node (bool up);
   int64_t some_time ();
   void plan_cut (bool one_way);
+  void lapse (uint32_t cut);
+  void end_lapse ();
   void freeze (cap_world_node &node, int64_t length_us);
   cap_world_node &some_node ();
   cap_world_node &first_holder ();
--- a/tests/unit/test_team_cap.cc
+++ b/tests/unit/test_team_cap.cc
@@ -23,7 +23,7 @@
 
     for (uint32_t i = 1; i <= count; i++)
       nodes.push_back (i);
-    eel_cap_view_set (&view, nodes.data (), count);
+    eel_cap_view_set (&view, nodes.data (), count, nullptr, 0);
     eel_cap_holder_init (&holder, &view, &tolerance);
   }
 
--- a/tests/unit/test_team_cap_entry.cc
+++ b/tests/unit/test_team_cap_entry.cc
@@ -20,7 +20,7 @@
   {
     const uint32_t nodes[] = { 1, 2, 3, 4, 5 };
 
-    eel_cap_view_set (&view, nodes, 5);
+    eel_cap_view_set (&view, nodes, 5, nullptr, 0);
     eel_team_cap_init (&cap, &view, 9, 7, now_us);
     now_us += EEL_US_PER_S;
   }
@@ -213,7 +213,7 @@
   const uint32_t alone[] = { 9 };
   int messages = 0;
 
-  eel_cap_view_set (&view, alone, 1);
+  eel_cap_view_set (&view, alone, 1, nullptr, 0);
   eel_team_cap_view_changed (&cap, now_us);
   request ();
   for (int64_t end_us = now_us + EEL_US_PER_S; now_us < end_us;
@@ -233,7 +233,7 @@
 
   request ();
   ASSERT_TRUE (next ());
-  eel_cap_view_set (&view, grown, 12);
+  eel_cap_view_set (&view, grown, 12, nullptr, 0);
   eel_team_cap_view_changed (&cap, now_us);
   EXPECT_EQ (cap.askers[0].current, 0u);
   EXPECT_TRUE (cap.is_witness);
--- a/tests/unit/test_team_cap_message.cc
+++ b/tests/unit/test_team_cap_message.cc
@@ -19,10 +19,10 @@
 
   for (uint32_t i = 1; i <= 300; i++)
     nodes.push_back (i);
-  eel_cap_view_set (&a, nodes.data (), 300);
+  eel_cap_view_set (&a, nodes.data (), 300, nullptr, 0);
   std::reverse (nodes.begin (), nodes.end ());
   nodes.insert (nodes.end (), { 5, 5, 7 });
-  eel_cap_view_set (&b, nodes.data (), 303);
+  eel_cap_view_set (&b, nodes.data (), 303, nullptr, 0);
   EXPECT_EQ (b.count, 300u);
   EXPECT_EQ (a.group_count, 2u);
   EXPECT_EQ (a.witness_count, (uint32_t)EEL_CAP_WITNESSES_MAX);
@@ -32,7 +32,7 @@
   EXPECT_EQ (eel_cap_group_count (256), 1u);
   EXPECT_EQ (eel_cap_group_count (2100), 16u);
   EXPECT_EQ (eel_cap_group_count (100000), 16u);
-  eel_cap_view_set (&a, nullptr, 0);
+  eel_cap_view_set (&a, nullptr, 0, nullptr, 0);
   EXPECT_EQ (eel_cap_view_candidates (&a, 0, 1, from_a), 1u);
   EXPECT_EQ (from_a[0], 1u);
 }
--- a/tests/unit/test_team_cap_worlds.cc
+++ b/tests/unit/test_team_cap_worlds.cc
@@ -55,6 +55,13 @@
         c.where = cap_world_config::AT_ONCE;
         c.demand = 0.8;
       } },
+    { "entries lapse in a cut",
+      [] (cap_world_config &c) {
+        c.cuts = 1;
+        c.cut_max_us = 30 * EEL_US_PER_S;
+        c.lapse_us = 3 * EEL_US_PER_S;
+        c.burst_s = 0.1;
+      } },
     { "one-way cuts", [] (cap_world_config &c) { c.one_way_cuts = 4; } },
     { "cuts with large demand",
       [] (cap_world_config &c) {
