--- a/src/admission/cap_view.c
+++ b/src/admission/cap_view.c
@@ -26,10 +26,14 @@
              uint32_t node,
              uint64_t weight)
 {
-  uint32_t at = count < max ? count : max - 1;
+  uint32_t at = count;
 
-  if (count == max && weight <= weights[max - 1])
-    return count;
+  if (count >= max)
+    {
+      if (max == 0 || weight <= weights[max - 1])
+        return count;
+      at = max - 1;
+    }
   for (; at > 0 && weights[at - 1] < weight; at--)
     {
       best[at] = best[at - 1];
