Give an answer that came before its hold ended no part of the hold

An empty answer of the store that came sooner than the hold that was asked for counted as proof up to its arrival. When it was given isn't known: a watch that is cut at once and whose answer is on the way for 0.4 s made knowledge 0.4 s too new. It counts from when the call was sent now.

KnowledgeIsAsOldAsTheReadThatProvesIt asked for the former; it asks for the older age now (100 ms instead of 0), and fails without the change. test_teams and test_read_source pass.

--- a/src/membership/registry_view.c
+++ b/src/membership/registry_view.c
@@ -120,7 +120,8 @@
   record_news (view, now_us - age_us);
 }
 
-/* The read can't have been held for longer than the answer took. */
+/* An answer that came before the end of its hold was given at an unknown time
+   since the read was sent. */
 void
 eel_registry_view_known (struct eel_registry_view *view,
                          int64_t sent_us,
@@ -129,8 +130,8 @@
 {
   int64_t known_us = sent_us;
 
-  if (held_us > 0)
-    known_us += held_us < now_us - sent_us ? held_us : now_us - sent_us;
+  if (held_us > 0 && held_us <= now_us - sent_us)
+    known_us += held_us;
   if (known_us > view->known_us)
     view->known_us = known_us;
 }
--- a/tests/unit/test_registry_view.cc
+++ b/tests/unit/test_registry_view.cc
@@ -206,16 +206,17 @@
   // Sent 900 ms ago; of the 700 ms the registry has told nothing new.
   eel_registry_view_known (&view, now_us - 900 * ms, 700 * ms, now_us);
   EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 200 * ms);
-  // An earlier read doesn't make it older, nor a time to come newer.
+  // An earlier read doesn't make it older.
   eel_registry_view_known (&view, now_us - 5000 * ms, 0, now_us);
   EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 200 * ms);
+  // Not held to the end: when it was answered isn't known.
   eel_registry_view_known (&view, now_us - 100 * ms, 700 * ms, now_us);
-  EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 0);
+  EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 100 * ms);
   // Reads that are no proof leave it as it is.
   wait_ms (3000);
   eel_registry_view_read_registry (&view, now_us);
   eel_registry_view_read_peer (&view, 0, 0, now_us);
-  EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 3000 * ms);
+  EXPECT_EQ (eel_registry_view_known_age_us (&view, now_us), 3100 * ms);
 }
 
 TEST_F (view_test, KnowledgeOfAPeerIsAsOldAsThere)
