Grow the arrays of teams and keys by one function

grow_teams and grow_keys were the same code for two types; what they share is grow now, which leaves the array as it was when either part can't be had. Tests of the table and of its decoding pass.

--- a/src/admission/team_table.c
+++ b/src/admission/team_table.c
@@ -75,51 +75,59 @@
   return slot;
 }
 
-/* Doubles the room for teams and rebuilds their index; 0 when out of memory. */
+/* Doubles the room of an array and empties its index, into which the caller
+   puts the entries again.  Returns the array, or NULL when out of memory. */
+static void *
+grow (void *entries,
+      size_t entry_bytes,
+      uint32_t *capacity,
+      uint32_t **slots,
+      uint32_t *slot_count)
+{
+  uint32_t grown = *capacity == 0 ? FIRST_CAPACITY : *capacity * 2;
+  uint32_t *grown_slots = calloc ((size_t)grown * 2, sizeof *grown_slots);
+
+  if (grown_slots == NULL)
+    return NULL;
+  entries = realloc (entries, grown * entry_bytes);
+  if (entries == NULL)
+    {
+      free (grown_slots);
+      return NULL;
+    }
+  free (*slots);
+  *slots = grown_slots;
+  *slot_count = grown * 2;
+  *capacity = grown;
+  return entries;
+}
+
 static int
 grow_teams (struct eel_team_table *table)
 {
-  uint32_t capacity
-      = table->capacity == 0 ? FIRST_CAPACITY : table->capacity * 2;
-  struct eel_team *teams = realloc (table->teams, capacity * sizeof *teams);
-  uint32_t *slots;
+  struct eel_team *teams = grow (table->teams, sizeof *teams, &table->capacity,
+                                 &table->team_slots, &table->team_slot_count);
 
   if (teams == NULL)
     return 0;
   table->teams = teams;
-  slots = calloc ((size_t)capacity * 2, sizeof *slots);
-  if (slots == NULL)
-    return 0;
-  free (table->team_slots);
-  table->team_slots = slots;
-  table->team_slot_count = capacity * 2;
-  table->capacity = capacity;
   for (uint32_t i = 0; i < table->count; i++)
-    slots[find_team_slot (table, teams[i].id)] = i + 1;
+    table->team_slots[find_team_slot (table, teams[i].id)] = i + 1;
   return 1;
 }
 
-/* The same for keys. */
 static int
 grow_keys (struct eel_team_table *table)
 {
-  uint32_t capacity
-      = table->key_capacity == 0 ? FIRST_CAPACITY : table->key_capacity * 2;
-  struct eel_team_key *keys = realloc (table->keys, capacity * sizeof *keys);
-  uint32_t *slots;
+  struct eel_team_key *keys
+      = grow (table->keys, sizeof *keys, &table->key_capacity,
+              &table->key_slots, &table->key_slot_count);
 
   if (keys == NULL)
     return 0;
   table->keys = keys;
-  slots = calloc ((size_t)capacity * 2, sizeof *slots);
-  if (slots == NULL)
-    return 0;
-  free (table->key_slots);
-  table->key_slots = slots;
-  table->key_slot_count = capacity * 2;
-  table->key_capacity = capacity;
   for (uint32_t i = 0; i < table->key_count; i++)
-    slots[find_key_slot (table, keys[i].hash)] = i + 1;
+    table->key_slots[find_key_slot (table, keys[i].hash)] = i + 1;
   return 1;
 }
 
