Believe a peer's word on a team only where the peer set it

A node of a release without teams passes a caller's Eel-Team on unchanged, and the node beside the endpoint took it for the entry node's word: during an upgrade any caller could be served as any team. So it could with the endpoint's own field for the team, and the key reached the endpoint.

Whether teams are in force stands in Eel-Call now, which every release sets itself and drops from callers. Where the node beside the endpoint knows of teams, it drops key and team of the caller whatever the entry node is. Without teams the bytes between nodes stay as they were.

FieldsThatANodeWithoutTeamsPassesOnAreDropped (4 of its 5 cases) and TeamOfANodeWithoutTeamsIsNotRead failed before; the tests of teams, caps and sharing pass.

--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -226,8 +226,11 @@
           EEL_RELAY_REFUSED, EEL_RELAY_CRASHED, EEL_RELAY_CRASH,
           EEL_RELAY_CLEARED, EEL_RELAY_NEWS, EEL_RELAY_LIMIT, EEL_RELAY_LEAVING,
           EEL_RELAY_TEAM, EEL_RELAY_CROWDED,
-          /* Without teams the list ends here. */
-          call->has_teams ? header_names->authorization : NULL,
+          /* Without teams the list ends here.  A node of a release without
+             them may have passed on what its caller sent. */
+          call->has_teams || attempt->relay->teams != NULL
+              ? header_names->authorization
+              : NULL,
           header_names->team, NULL };
   int64_t now_us = eel_clock_us ();
 
@@ -249,13 +252,15 @@
   if (to_peer)
     evbuffer_add_printf (
         out,
-        "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64 "%s\r\n",
+        "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64
+        "%s%s\r\n",
         EEL_RELAY_CALL,
         eel_service_name (&attempt->relay->names, call->service), call->route,
         call->rank, call->idempotent,
         (call->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision,
         call->request->framing, call->request->length_bytes,
-        call->is_guest ? " 1" : "");
+        call->is_guest ? " 1" : (call->has_teams ? " 0" : ""),
+        call->has_teams ? " 1" : "");
   eel_head_write_framing (attempt->framing, call->request->length_bytes, out);
   evbuffer_add (out, "\r\n", 2);
 }
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -216,14 +216,15 @@
   uint64_t revision;
   unsigned framing;
   uint64_t length_bytes;
-  unsigned is_guest = 0;
   int64_t now_us = eel_clock_us ();
 
   if (fields == NULL || remaining == NULL
       || sscanf (fields,
-                 "%63s %" SCNx64 " %u %u %ld %" SCNu64 " %u %" SCNu64 " %u",
+                 "%63s %" SCNx64 " %u %u %ld %" SCNu64 " %u %" SCNu64 " %" SCNu8
+                 " %" SCNu8,
                  service, &call->route, &rank, &idempotent, &target_ms,
-                 &revision, &framing, &length_bytes, &is_guest)
+                 &revision, &framing, &length_bytes, &call->is_guest,
+                 &call->has_teams)
              < 8
       || framing > EEL_FRAMING_CHUNKED)
     return 0;
@@ -240,7 +241,6 @@
   call->service = eel_service_names_find (&relay->names, service);
   call->rank = (uint8_t)rank;
   call->idempotent = (uint8_t)(idempotent != 0);
-  call->is_guest = (uint8_t)(is_guest != 0);
   eel_crash_read (relay, request);
   eel_self_report_read_hint (relay, call->instance_id, request);
   eel_relay_read_team (request, call);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -69,7 +69,9 @@
 #define EEL_RELAY_LIMIT "Eel-Limit"
 /* Id of the endpoint that said in this answer that it leaves. */
 #define EEL_RELAY_LEAVING "Eel-Leaving"
-/* The request's team, where teams are in force; empty: none. */
+/* The request's team, where teams are in force; empty: none.  Read only where
+   EEL_RELAY_CALL ends in 1, which no caller can set: nodes of a release without
+   teams pass this field on as it came. */
 #define EEL_RELAY_TEAM "Eel-Team"
 /* A team above its share at the endpoint's gate: id, rank, excess, slot time
    asked for and got, in thousandths.  Repeated for each. */
--- a/src/relay/teams.c
+++ b/src/relay/teams.c
@@ -61,14 +61,15 @@
   relay->outdated_refused = 0;
 }
 
-/* Without the field the entry node knows of no teams. */
+/* The field alone says nothing: the entry node says whether teams are in force.
+ */
 void
 eel_relay_read_team (const struct eel_head *request,
                      struct eel_relay_call *call)
 {
-  const char *team = eel_head_get (request, EEL_RELAY_TEAM);
+  const char *team
+      = call->has_teams ? eel_head_get (request, EEL_RELAY_TEAM) : NULL;
 
-  call->has_teams = (uint8_t)(team != NULL);
   call->team = team != NULL && team[0] != 0 ? team : NULL;
   call->team_id = call->team == NULL ? EEL_NO_TEAM : eel_team_id (call->team);
 }
--- a/tests/unit/relay_teams.h
+++ b/tests/unit/relay_teams.h
@@ -88,6 +88,46 @@
         cluster.send_request (request_text ("GET", target, "r1", lines), node));
   }
 
+  // Sends what an entry node sends to node 1: its word on the call, after lines
+  // that it passes on.
+  std::string
+  forward (const std::string &call, const std::string &lines)
+  {
+    raw_conn conn;
+    const struct sockaddr_in &to = cluster.nodes[1]->relay.config.peers;
+
+    conn.bev = bufferevent_socket_new (cluster.base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb (
+        conn.bev,
+        [] (struct bufferevent *bev, void *data) {
+          struct evbuffer *input = bufferevent_get_input (bev);
+          size_t bytes = evbuffer_get_length (input);
+
+          static_cast<raw_conn *> (data)->in.append (
+              reinterpret_cast<char *> (evbuffer_pullup (input, -1)), bytes);
+          evbuffer_drain (input, bytes);
+        },
+        nullptr, nullptr, &conn);
+    bufferevent_enable (conn.bev, EV_READ | EV_WRITE);
+    bufferevent_socket_connect (
+        conn.bev, reinterpret_cast<const struct sockaddr *> (&to), sizeof to);
+    raw_upstream::write (conn, "GET /safe/x HTTP/1.1\r\nHost: shop.example\r\n"
+                               "Req-Id: old\r\n"
+                                   + lines
+                                   + "Left-Ms: 1000\r\nFrom-Service: shop\r\n"
+                                     "Want: up-2\r\nEel-Call: "
+                                   + call
+                                   + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                     "0\r\n\r\n");
+    cluster.run_until ([&] {
+      if (status_of (conn.in) == "100")
+        conn.in.erase (0, conn.in.find ("\r\n\r\n") + 4);
+      return !conn.in.empty ();
+    });
+    bufferevent_free (conn.bev);
+    return status_of (conn.in);
+  }
+
   std::string
   last_request (size_t node = 1)
   {
--- a/tests/unit/test_relay_teams.cc
+++ b/tests/unit/test_relay_teams.cc
@@ -149,3 +149,40 @@
   for (auto &conn : conns)
     bufferevent_free (conn->bev);
 }
+
+// Guards against a team or key that a caller sends and that an entry node of a
+// release without teams passes on unchanged: no word of the node itself stands
+// beside it.
+TEST_F (relay_teams, FieldsThatANodeWithoutTeamsPassesOnAreDropped)
+{
+  const char *const forged[]
+      = { "Eel-Team: b\r\n", "Eel-Team:\r\nTeam: b\r\n", "Team: b\r\n",
+          "team: b\r\nEEL-TEAM: b\r\n", "Authorization: Bearer kb\r\n" };
+
+  set_teams (1, { "ka" });
+  for (const char *lines : forged)
+    {
+      ASSERT_EQ (forward ("shop 1 2 1 500 0 0 0", lines), "200") << lines;
+      EXPECT_EQ (field_of (last_request (), "Req-Id"), "old") << lines;
+      EXPECT_EQ (last_request ().find ("eam:"), std::string::npos)
+          << last_request ();
+      EXPECT_EQ (last_request ().find ("kb"), std::string::npos)
+          << last_request ();
+    }
+}
+
+// The same while the teams are not known here either: what is not in force
+// isn't read.
+TEST_F (relay_teams, TeamOfANodeWithoutTeamsIsNotRead)
+{
+  ASSERT_EQ (forward ("shop 1 2 1 500 0 0 0 1", "Eel-Team: b\r\n"), "200");
+  EXPECT_EQ (last_request ().find ("eam:"), std::string::npos);
+}
+
+TEST_F (relay_teams, TeamThatTheEntryNodeVouchesForIsRead)
+{
+  ASSERT_EQ (forward ("shop 1 2 1 500 0 0 0 0 1", "Eel-Team: b\r\n"), "200");
+  EXPECT_EQ (field_of (last_request (), "Team"), "b");
+  ASSERT_EQ (forward ("shop 1 2 1 500 0 0 0 1 1", "Eel-Team: \r\n"), "200");
+  EXPECT_EQ (last_request ().find ("eam:"), std::string::npos);
+}
