Escape texts from outside in log lines

Names of teams and services, hosts, prefixes, ids of endpoints and requests and keys of the store went into lines as they came. A team named 'a" keys=99 x="' gave team="a" keys=99 x="" keys=1, and a route's prefix with a newline a line of its own.

eel_log_text gives such a text as one value: unchanged when it is a plain word, else escaped and in quotes; the writer of lines keeps each message on one line whatever it holds. Ordinary lines stay as they were. Hosts and prefixes are no longer cut after 64 bytes, all texts after about 200 escapes.

--- a/src/internal/log.h
+++ b/src/internal/log.h
@@ -32,4 +32,23 @@
                    const char *level,
                    const char *message);
 
+/* Room for a text of 200 bytes that are all escaped, with quotes. */
+#define EEL_LOG_TEXT_BYTES 808
+
+struct eel_log_text
+{
+  char bytes[EEL_LOG_TEXT_BYTES];
+};
+
+/* Give a text from outside for use between quotes, and as the value of a field
+   with quotes where it needs them.  Valid as long as text and buffer are. */
+const char *eel_log_escape (struct eel_log_text *buffer, const char *text);
+const char *eel_log_text (struct eel_log_text *buffer, const char *text);
+
+/* The same with a buffer of the enclosing block. */
+#define EEL_LOG_ESCAPE(text)                                                   \
+  eel_log_escape (&(struct eel_log_text){ { 0 } }, (text))
+#define EEL_LOG_TEXT(text)                                                     \
+  eel_log_text (&(struct eel_log_text){ { 0 } }, (text))
+
 #endif
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -37,6 +37,16 @@
     log->dropped = 0;
 }
 
+/* Keeps a message on one line. */
+static void
+replace_controls (char *line)
+{
+  for (; *line != 0; line++)
+    if (((unsigned char)*line < ' ' && (*line != '\n' || line[1] != 0))
+        || *line == 0x7f)
+      *line = '?';
+}
+
 /*
  * Writes one line unless lines_per_s lines were written in this second or the
  * descriptor would block; such a line is dropped and counted.
@@ -61,6 +71,7 @@
   bytes = snprintf (line, sizeof line, "%.3f %s %s\n", wall_s, level, message);
   if (bytes >= LINE_BYTES_MAX)
     line[LINE_BYTES_MAX - 2] = '\n';
+  replace_controls (line);
   if (log->lines >= log->lines_per_s || !write_line (log, line, bytes))
     {
       log->dropped++;
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -139,7 +139,7 @@
   if (id == NULL && !may_lack_id (attempt, not_run))
     {
       g_message ("event=answer_without_id request=%s status=%u",
-                 attempt->call.request_id, head->status);
+                 EEL_LOG_TEXT (attempt->call.request_id), head->status);
       return 0;
     }
   eel_self_report_read (attempt->relay, attempt->call.instance_id, head);
@@ -189,8 +189,7 @@
   if (attempt->refusal_bytes <= REFUSAL_BODY_BYTES_MAX)
     return;
   g_message ("event=refusal_cut request=%s read_bytes=%" PRIu64,
-             attempt->call.request_id != NULL ? attempt->call.request_id : "-",
-             attempt->refusal_bytes);
+             EEL_LOG_TEXT (attempt->call.request_id), attempt->refusal_bytes);
   eel_link_cancel (attempt->link);
   attempt->link = NULL;
   eel_attempt_fail_local (attempt, attempt->refusal, "endpoint did not run it");
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -117,7 +117,7 @@
   if (!parse_load (text, &load))
     {
       g_message ("event=load_field_invalid instance=%s",
-                 attempt->call.instance_id);
+                 EEL_LOG_TEXT (attempt->call.instance_id));
       return;
     }
   load.endpoint.route = attempt->call.route;
--- a/src/relay/caps_report.c
+++ b/src/relay/caps_report.c
@@ -75,7 +75,7 @@
     .team = team, .since_us = now_us, .last_us = now_us, .refused = 1
   };
   g_message ("event=team_limited team=%s wait_ms=%" PRId64,
-             team_name (caps, team), wait_us / EEL_US_PER_MS);
+             EEL_LOG_TEXT (team_name (caps, team)), wait_us / EEL_US_PER_MS);
 }
 
 static void
@@ -90,7 +90,8 @@
         continue;
       g_message ("event=team_limit_ended team=%s refused=%" PRIu64
                  " after_ms=%" PRId64,
-                 team_name (caps, limited->team), limited->refused,
+                 EEL_LOG_TEXT (team_name (caps, limited->team)),
+                 limited->refused,
                  (limited->last_us - limited->since_us) / EEL_US_PER_MS);
       *limited = (struct eel_caps_limited){ .team = EEL_NO_TEAM };
     }
--- a/src/relay/domain_traffic.c
+++ b/src/relay/domain_traffic.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "eelgrasslatch/types.h"
+#include "internal/log.h"
 #include "internal/task.h"
 
 #define LINE_INTERVAL_US (10 * EEL_US_PER_S)
@@ -144,7 +145,8 @@
   if (sum != row->logged)
     g_message ("event=domain_traffic service=%s requests=%" PRIu64
                " home_in_time=%" PRIu64 "%s",
-               row->service, sum, value_of (row->home_in_time), text->str);
+               EEL_LOG_TEXT (row->service), sum, value_of (row->home_in_time),
+               text->str);
   row->logged = sum;
   g_string_free (text, TRUE);
 }
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -73,8 +73,8 @@
     }
   if (entry->committed)
     g_message ("event=answer_overdue request=%s instance=%s",
-               entry->call.request_id != NULL ? entry->call.request_id : "-",
-               entry->call.instance_id);
+               EEL_LOG_TEXT (entry->call.request_id),
+               EEL_LOG_TEXT (entry->call.instance_id));
   eel_entry_terminate (entry);
 }
 
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -104,15 +104,15 @@
       "rank=%u tried=%u arrivals=%u may_have_run=%u "
       "after_ms=%" PRId64 " left_ms=%" PRId64 " pressure=%.0f refuse=%.2f "
       "team=%s above_share=%.2f",
-      entry->call.request_id != NULL ? entry->call.request_id : "-",
-      eel_error_info (reported)->name, status,
-      eel_service_name (&relay->names, entry->call.service), entry->call.rank,
-      entry->tried_count, entry->arrivals, entry->may_have_run,
-      (now_us - entry->arrived_us) / EEL_US_PER_MS,
+      EEL_LOG_TEXT (entry->call.request_id), eel_error_info (reported)->name,
+      status,
+      EEL_LOG_TEXT (eel_service_name (&relay->names, entry->call.service)),
+      entry->call.rank, entry->tried_count, entry->arrivals,
+      entry->may_have_run, (now_us - entry->arrived_us) / EEL_US_PER_MS,
       (entry->call.deadline_us - now_us) / EEL_US_PER_MS,
       eel_entry_gate_pressure (&relay->entry_gate, entry->call.route, now_us),
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route),
-      entry->call.team != NULL ? entry->call.team : "-",
+      EEL_LOG_TEXT (entry->call.team),
       eel_sharing_refused_share (relay, &entry->call));
   if (reported == EEL_ERROR_LEAVING)
     after_us = EEL_ENTRY_LEAVING_RETRY_US;
@@ -232,10 +232,10 @@
   if (entry->status >= 500)
     g_message ("event=upstream_error request=%s status=%u service=%s "
                "instance=%s attempt=%u after_ms=%" PRId64,
-               entry->call.request_id != NULL ? entry->call.request_id : "-",
-               entry->status,
-               eel_service_name (&entry->relay->names, entry->call.service),
-               entry->call.instance_id, entry->tried_count,
+               EEL_LOG_TEXT (entry->call.request_id), entry->status,
+               EEL_LOG_TEXT (eel_service_name (&entry->relay->names,
+                                               entry->call.service)),
+               EEL_LOG_TEXT (entry->call.instance_id), entry->tried_count,
                latency_us / EEL_US_PER_MS);
 }
 
@@ -352,9 +352,9 @@
   if (failure != EEL_FAILURE_REFUSED)
     g_message ("event=attempt_failed request=%s failure=%s reason=\"%s\" "
                "instance=%s arrivals=%u",
-               entry->call.request_id != NULL ? entry->call.request_id : "-",
+               EEL_LOG_TEXT (entry->call.request_id),
                eel_attempt_failure_name (failure), reason,
-               entry->call.instance_id, entry->arrivals);
+               EEL_LOG_TEXT (entry->call.instance_id), entry->arrivals);
   if (entry->committed)
     {
       struct eel_exchange *exchange = entry->exchange;
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -85,12 +85,12 @@
     {
       const struct eel_flow_change *change = &changes[i];
 
-      g_message ("event=%s service=%s left_milli=%u left=%" PRIu64
-                 " home_wait_ms=%" PRId64 " report_age_ms=%" PRId64,
-                 change->is_leaving ? "domain_left" : "domain_kept",
-                 eel_service_name (&relay->names, change->service),
-                 change->left_milli, change->left_sum,
-                 change->home_us / EEL_US_PER_MS,
-                 change->age_us / EEL_US_PER_MS);
+      g_message (
+          "event=%s service=%s left_milli=%u left=%" PRIu64
+          " home_wait_ms=%" PRId64 " report_age_ms=%" PRId64,
+          change->is_leaving ? "domain_left" : "domain_kept",
+          EEL_LOG_TEXT (eel_service_name (&relay->names, change->service)),
+          change->left_milli, change->left_sum, change->home_us / EEL_US_PER_MS,
+          change->age_us / EEL_US_PER_MS);
     }
 }
--- a/src/relay/entry_team.c
+++ b/src/relay/entry_team.c
@@ -53,9 +53,10 @@
                                  relay->config.header_names->request_id);
 
   g_message ("event=not_served request=%s error=%s status=%u reason=\"%s\" "
-             "host=%.64s prefix=%.64s version=%" PRIu64 " age_ms=%" PRId64,
-             id != NULL ? id : "-", info->name, info->http_status, reason,
-             route->host, route->prefix, relay->teams->version,
+             "host=%s prefix=%s version=%" PRIu64 " age_ms=%" PRId64,
+             EEL_LOG_TEXT (id), info->name, info->http_status, reason,
+             EEL_LOG_TEXT (route->host), EEL_LOG_TEXT (route->prefix),
+             relay->teams->version,
              relay->known_us == 0 ? -1
                                   : (now_us - relay->known_us) / EEL_US_PER_MS);
 }
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -163,7 +163,7 @@
 
   if (failure != EEL_FAILURE_REFUSED)
     g_message ("event=run_failed request=%s failure=%s reason=\"%s\"",
-               run->call.request_id != NULL ? run->call.request_id : "-",
+               EEL_LOG_TEXT (run->call.request_id),
                eel_attempt_failure_name (failure), reason);
   run_free (run);
   if (answered)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -53,10 +53,11 @@
   while ((instance = eel_directory_next_expired (&relay->directory, now_us))
          != NULL)
     if (++count <= EXPIRED_LINES_MAX)
-      g_message ("event=endpoint_expired id=%s service=%s lapsed_ms=%" PRId64,
-                 instance->id,
-                 eel_service_name (&relay->names, instance->service),
-                 (now_us - instance->lapsed_us) / EEL_US_PER_MS);
+      g_message (
+          "event=endpoint_expired id=%s service=%s lapsed_ms=%" PRId64,
+          EEL_LOG_TEXT (instance->id),
+          EEL_LOG_TEXT (eel_service_name (&relay->names, instance->service)),
+          (now_us - instance->lapsed_us) / EEL_US_PER_MS);
   if (count > EXPIRED_LINES_MAX)
     g_message ("event=endpoints_expired count=%u", count);
   if (count > 0)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -18,6 +18,7 @@
 #include "eelgrasslatch/team_table.h"
 #include "eelgrasslatch/team_use.h"
 #include "eelgrasslatch/team_cap.h"
+#include "internal/log.h"
 #include "internal/metrics.h"
 #include "relay/domain_traffic.h"
 #include "relay/pool.h"
--- a/src/relay/self_report.c
+++ b/src/relay/self_report.c
@@ -18,8 +18,8 @@
   if ((per_s < 0) == (logged < 0)
       && fabs (per_s - logged) * 100 <= logged * LOGGED_CHANGE_PERCENT)
     return;
-  g_message ("event=endpoint_limit id=%s per_s=%.3f was=%.3f", id, per_s,
-             logged);
+  g_message ("event=endpoint_limit id=%s per_s=%.3f was=%.3f",
+             EEL_LOG_TEXT (id), per_s, logged);
   relay->limit_logged_per_s = per_s;
 }
 
@@ -86,7 +86,7 @@
 {
   if (!eel_directory_set_leaving (&relay->directory, id))
     return;
-  g_message ("event=endpoint_says_it_leaves id=%s", id);
+  g_message ("event=endpoint_says_it_leaves id=%s", EEL_LOG_TEXT (id));
   eel_relay_endpoints_changed (relay);
 }
 
@@ -125,7 +125,7 @@
     set_leaving (relay, id);
   if (!known)
     {
-      g_message ("event=endpoint_limit_invalid id=%s", id);
+      g_message ("event=endpoint_limit_invalid id=%s", EEL_LOG_TEXT (id));
       return;
     }
   relay->has_reported = 1;
--- a/src/relay/sharing.c
+++ b/src/relay/sharing.c
@@ -105,9 +105,10 @@
     return;
   g_message ("event=team_above_share team=%s id=%016" PRIx64
              " service=%s rank=%u excess_milli=%u asked_milli=%u got_milli=%u",
-             team != NULL ? team->name : "-", excess->team,
-             eel_service_name (&relay->names, service), excess->rank,
-             excess->excess_milli, excess->asked_milli, excess->got_milli);
+             EEL_LOG_TEXT (team != NULL ? team->name : NULL), excess->team,
+             EEL_LOG_TEXT (eel_service_name (&relay->names, service)),
+             excess->rank, excess->excess_milli, excess->asked_milli,
+             excess->got_milli);
 }
 
 static void
@@ -154,7 +155,7 @@
       if (!parse (text, &excess))
         {
           g_message ("event=crowded_field_invalid service=%s",
-                     eel_service_name (&relay->names, service));
+                     EEL_LOG_TEXT (eel_service_name (&relay->names, service)));
           return;
         }
       record (relay, service, &excess);
--- a/src/relay/spared.c
+++ b/src/relay/spared.c
@@ -28,8 +28,9 @@
   g_message ("event=endpoint_spared id=%s service=%s spared=%u route=%" PRIx64
              " run_ms=%" PRId64 " fastest_ms=%" PRId64 " use=%u speed=%u "
              "reported_ms=%" PRId64,
-             instance->id,
-             eel_service_name (&review->relay->names, instance->service),
+             EEL_LOG_TEXT (instance->id),
+             EEL_LOG_TEXT (
+                 eel_service_name (&review->relay->names, instance->service)),
              instance->spared, change->route, change->run_us / EEL_US_PER_MS,
              change->fastest_us / EEL_US_PER_MS, instance->report.use_milli,
              instance->report.speed_milli,
--- a/tests/unit/test_platform_teams.cc
+++ b/tests/unit/test_platform_teams.cc
@@ -171,3 +171,30 @@
           << each.field;
     }
 }
+
+// Guards against a name in a line that reads as fields of the node's own.
+TEST_F (platform_teams, NamesInLinesAreEscaped)
+{
+  std::string lines;
+
+  ::testing::internal::CaptureStderr ();
+  ASSERT_TRUE (decode (R"([{"name":"a\" keys=99 x=\"","apiKeys":["k"]},)"
+                       R"({"name":"b\\","apiKeys":["l"]},)"
+                       R"({"name":"c\" x=\"\n1.0 info event=started",)"
+                       R"("apiKeys":["m"]}])",
+                       R"(,{"host":"h prefix=/ field=x","prefix":"q\nevent=y",)"
+                       R"("kind":"safe","timeoutMs":100,"service":"s"})"));
+  platform_teams_log_changes (&platform, teams);
+  lines = ::testing::internal::GetCapturedStderr ();
+  EXPECT_NE (lines.find (R"(team="a\" keys=99 x=\"" keys=1 added=1)"),
+             std::string::npos)
+      << lines;
+  EXPECT_NE (lines.find (R"(team="b\\" keys=1 added=1)"), std::string::npos)
+      << lines;
+  EXPECT_NE (lines.find (R"(team="c\" x=\"\0121.0 info event=started" field=)"),
+             std::string::npos)
+      << lines;
+  EXPECT_NE (lines.find (R"(host="h prefix=/ field=x" prefix="q\012event=y" )"),
+             std::string::npos)
+      << lines;
+}
