Serve no key on a public route while knowledge is outdated

A request with a key on a route that is public as far as the node knows went on without a team, however old that knowledge was. Its caller may know that the route is public no more: then a key that was withdrawn longer than revocationMs ago ran at a node that was cut off before both changes.

OutdatedKnowledgeServesNoKey asked for the former in one line; it asks for 503 and no arrival now, with two forms of the field, and for 200 without a key. It failed before the change.

--- a/src/relay/entry_team.c
+++ b/src/relay/entry_team.c
@@ -77,6 +77,22 @@
              relay->config.teams_max_age_us / EEL_US_PER_MS);
 }
 
+/* On a public route a key isn't needed.  A caller that sends one may know that
+   the route isn't public any more, and the key may be withdrawn since, so on
+   outdated knowledge it is served there neither. */
+static int
+needs_no_team (const struct eel_relay *relay,
+               const struct eel_exchange *exchange,
+               const struct eel_route *route,
+               int outdated)
+{
+  return route->is_public
+         && (!outdated
+             || eel_head_get (&exchange->request,
+                              relay->config.header_names->authorization)
+                    == NULL);
+}
+
 enum eel_error
 eel_entry_find_team (struct eel_relay *relay,
                      const struct eel_exchange *exchange,
@@ -97,7 +113,7 @@
     key = request_key (relay, &exchange->request, &bytes, &reason);
   if (key != NULL)
     *team = eel_team_table_find_key (relay->teams, key, bytes);
-  if (*team != NULL || route->is_public)
+  if (*team != NULL || needs_no_team (relay, exchange, route, outdated))
     return EEL_OK;
   if (outdated)
     count_outdated (relay, now_us);
--- a/tests/unit/test_relay_team_keys.cc
+++ b/tests/unit/test_relay_team_keys.cc
@@ -107,10 +107,14 @@
     }
   EXPECT_EQ (arrivals (), before);
   EXPECT_EQ (relay.outdated_refused, 3u);
-  // Public routes go on; whose key it is can't be told.
-  EXPECT_EQ (send (key_of_a, "/once/x"), "200");
+  // Public routes go on, but not with a key: its caller may know a version in
+  // which the route is public no more, and the key may be withdrawn since.
+  EXPECT_EQ (send ("", "/once/x"), "200");
   EXPECT_EQ (last_request ().find ("Team:"), std::string::npos);
-  EXPECT_EQ (last_request ().find ("ka"), std::string::npos);
+  before = arrivals ();
+  EXPECT_EQ (send (key_of_a, "/once/x"), "503");
+  EXPECT_EQ (send ("authorization: Bearer z\r\n", "/once/x"), "503");
+  EXPECT_EQ (arrivals (), before);
   // It ends at once when the knowledge is new again.
   eel_relay_set_known (&relay, eel_clock_us ());
   EXPECT_EQ (relay.outdated_since_us, 0);
