--- a/src/relay/entry_team.c
+++ b/src/relay/entry_team.c
@@ -53,9 +53,10 @@
                                  relay->config.header_names->request_id);
 
   g_message ("event=not_served request=%s error=%s status=%u reason=\"%s\" "
-             "host=%.64s prefix=%.64s version=%" PRIu64 " age_ms=%" PRId64,
-             id != NULL ? id : "-", info->name, info->http_status, reason,
-             route->host, route->prefix, relay->teams->version,
+             "host=%s prefix=%s version=%" PRIu64 " age_ms=%" PRId64,
+             EEL_LOG_TEXT (id), info->name, info->http_status, reason,
+             EEL_LOG_TEXT (route->host), EEL_LOG_TEXT (route->prefix),
+             relay->teams->version,
              relay->known_us == 0 ? -1
                                   : (now_us - relay->known_us) / EEL_US_PER_MS);
 }
@@ -76,6 +77,22 @@
              relay->config.teams_max_age_us / EEL_US_PER_MS);
 }
 
+/* On a public route a key isn't needed.  A caller that sends one may know that
+   the route isn't public any more, and the key may be withdrawn since, so on
+   outdated knowledge it is served there neither. */
+static int
+needs_no_team (const struct eel_relay *relay,
+               const struct eel_exchange *exchange,
+               const struct eel_route *route,
+               int outdated)
+{
+  return route->is_public
+         && (!outdated
+             || eel_head_get (&exchange->request,
+                              relay->config.header_names->authorization)
+                    == NULL);
+}
+
 enum eel_error
 eel_entry_find_team (struct eel_relay *relay,
                      const struct eel_exchange *exchange,
@@ -96,7 +113,7 @@
     key = request_key (relay, &exchange->request, &bytes, &reason);
   if (key != NULL)
     *team = eel_team_table_find_key (relay->teams, key, bytes);
-  if (*team != NULL || route->is_public)
+  if (*team != NULL || needs_no_team (relay, exchange, route, outdated))
     return EEL_OK;
   if (outdated)
     count_outdated (relay, now_us);
