Count the VMs at home, not the entries, before keeping requests there

After a power-off the entry of an endpoint and that of its successor on the same VM are both listed until the lease of the first ends. Endpoints at home are counted by VM.

--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -23,9 +23,9 @@
 /* Refusals at home after which home counts as full, whatever the reports say:
    one may come from senders that all followed the same report. */
 #define HOME_REFUSALS 2
-/* With fewer endpoints at home there is no second one to ask there, and one
- * queue of a domain is longer than one of all: the service is shared. */
-#define HOME_ENDPOINTS_MIN 2
+/* With endpoints on fewer VMs at home there is no second one to ask there, and
+ * one queue of a domain is longer than one of all: the service is shared. */
+#define HOME_VMS_MIN 2
 /* Endpoints of other domains that a request is offered to once home has refused
    it. */
 #define TRIED_ABROAD_MAX 3
@@ -35,7 +35,10 @@
 /* What the reports tell of the sound endpoints of a service in one domain. */
 struct domain_view
 {
-  uint32_t endpoints;
+  /* VMs with an endpoint, counted exactly up to 2: an entry that another one
+     on its VM has replaced is listed for a while. */
+  uint32_t vms;
+  uint32_t first_ip;
   /* Sound endpoints that were not tried. */
   uint32_t sound;
   uint32_t fresh;
@@ -93,6 +96,16 @@
     }
 }
 
+static void
+add_vm (struct domain_view *domain, const struct eel_instance *instance)
+{
+  if (domain->vms > 0 && instance->ip == domain->first_ip)
+    return;
+  if (domain->vms == 0)
+    domain->first_ip = instance->ip;
+  domain->vms++;
+}
+
 static void
 add_seen (void *data, const struct eel_place_seen *seen)
 {
@@ -102,7 +115,8 @@
   if (seen->instance->domain >= EEL_DOMAINS_MAX)
     return;
   domain = &view->domains[seen->instance->domain];
-  domain->endpoints += !view->has_means;
+  if (!view->has_means)
+    add_vm (domain, seen->instance);
   if (seen->tried && seen->instance->domain != EEL_HOME_DOMAIN)
     view->tried_abroad++;
   if (seen->tried || seen->obstacle < EEL_LEAVE_SHED)
@@ -296,7 +310,7 @@
   uint8_t domain;
 
   view_service (directory, query, now_us, &view);
-  if (view.domains[EEL_HOME_DOMAIN].endpoints < HOME_ENDPOINTS_MIN
+  if (view.domains[EEL_HOME_DOMAIN].vms < HOME_VMS_MIN
       || (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0))
     return EEL_ANY_DOMAIN;
   row = eel_flow_service (flow, query->service);
--- a/tests/unit/domain_load.cc
+++ b/tests/unit/domain_load.cc
@@ -65,6 +65,7 @@
 
           snprintf (instance.id, sizeof instance.id, "%u", e);
           instance.revision = 1;
+          instance.ip = e + 1;
           instance.slots = SLOTS;
           instance.domain
               = (uint8_t)((domain_of (e) + plan.domains - s / SENDERS)
--- a/tests/unit/test_domain_flow.cc
+++ b/tests/unit/test_domain_flow.cc
@@ -213,6 +213,7 @@
 
         snprintf (instance.id, sizeof instance.id, "e%u", i);
         instance.revision = 1;
+        instance.ip = i + 1;
         instance.slots = 10;
         instance.domain = (uint8_t)(i % 3);
         instance.same_domain = i % 3 == 0;
@@ -313,6 +314,15 @@
   EXPECT_EQ (is_guest, 0);
 }
 
+// The entry that an endpoint on the same VM has replaced stays listed until its
+// lease ends; it is no second endpoint at home.
+TEST_F (one_sender, ReplacedEntryIsNoSecondEndpointAtHome)
+{
+  eel_directory_find (&directory, "e3")->ip
+      = eel_directory_find (&directory, "e0")->ip;
+  EXPECT_EQ (choose (), EEL_ANY_DOMAIN);
+}
+
 // Requests leave endpoints that shed them for those that don't, but stay where
 // all domains shed the same.
 TEST_F (one_sender, LeavesShedRequestsOnlyForWhoShedsLess)
