Take load reports that end with fields of a later version

A report between nodes with more numbers than this version knows was ignored whole, so during a rolling upgrade old nodes would have placed requests blindly. What follows the known numbers is ignored.

--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -8,6 +8,7 @@
 #include "internal/task.h"
 #include "relay/attempt.h"
 #include "relay/crash.h"
+#include "relay/load_field.h"
 #include "relay/relay.h"
 #include "relay/self_report.h"
 #include "relay/sharing.h"
@@ -18,13 +19,6 @@
 /* A node accepts within milliseconds; a lost packet is retransmitted after
    200 ms, and CPU throttling can stop a process for up to 100 ms. */
 #define ACCEPT_TIMEOUT_US (350 * EEL_US_PER_MS)
-/* Bounds of what a node may report of its endpoint. */
-#define USE_MAX_MILLI 1000000
-#define LOAD_TIME_MAX_US (3600 * EEL_US_PER_S)
-#define SPEED_MAX_MILLI 100000
-/* Numbers in the field, and in that of earlier versions. */
-#define LOAD_FIELDS 10
-#define LOAD_FIELDS_EARLIER 8
 
 static void
 release_instance (struct eel_attempt *attempt)
@@ -74,47 +68,15 @@
   attempt->ops->fail (attempt->owner, failure, reason);
 }
 
-/* Returns 0 when the text is malformed or no node could report such a load.
-   Nodes of earlier versions end it after the limit. */
-static int
-parse_load (const char *text, struct eel_relay_load *load)
-{
-  struct eel_instance_report *endpoint = &load->endpoint;
-  unsigned has_limit = 0;
-  int end = 0;
-  int count;
-
-  memset (load, 0, sizeof *load);
-  count = sscanf (text,
-                  "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64 " %u %" SCNu64
-                  "%n %u %" SCNd64 "%n",
-                  &endpoint->use_milli, &load->wait_us,
-                  &load->callee_pressure_milli, &load->revision,
-                  &endpoint->fault_milli, &endpoint->hold_us, &has_limit,
-                  &endpoint->limit_milli, &end, &endpoint->speed_milli,
-                  &endpoint->run_us, &end);
-  endpoint->has_limit = (uint8_t)has_limit;
-  return (count == LOAD_FIELDS_EARLIER || count == LOAD_FIELDS)
-         && text[end] == 0 && has_limit <= 1
-         && endpoint->speed_milli <= SPEED_MAX_MILLI && endpoint->run_us >= 0
-         && endpoint->run_us <= EEL_RUN_TIMES_MAX_US
-         && endpoint->limit_milli <= (uint64_t)(EEL_RATE_MAX * 1000)
-         && endpoint->use_milli <= USE_MAX_MILLI
-         && endpoint->fault_milli <= 1000 && endpoint->hold_us >= 0
-         && endpoint->hold_us <= LOAD_TIME_MAX_US && load->wait_us >= 0
-         && load->wait_us <= LOAD_TIME_MAX_US;
-}
-
 /* Records the load that the endpoint's node reports. */
 static void
 record_load (struct eel_attempt *attempt, const struct eel_head *head)
 {
-  const char *text = eel_head_get (head, EEL_RELAY_LOAD);
   struct eel_relay_load load;
 
-  if (text == NULL)
+  if (eel_head_get (head, EEL_RELAY_LOAD) == NULL)
     return;
-  if (!parse_load (text, &load))
+  if (!eel_load_read (head, &load))
     {
       g_message ("event=load_field_invalid instance=%s",
                  attempt->call.instance_id);
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -9,6 +9,7 @@
 #include "relay/attempt.h"
 #include "relay/crash.h"
 #include "relay/crash_news.h"
+#include "relay/load_field.h"
 #include "relay/relay.h"
 #include "relay/self_report.h"
 #include "relay/sharing.h"
@@ -61,14 +62,7 @@
 
   eel_relay_own_load (relay, route, &load);
   if (lines != NULL)
-    evbuffer_add_printf (lines,
-                         "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64
-                         " %u %" PRIu64 " %u %" PRId64 "\r\n",
-                         EEL_RELAY_LOAD, load.endpoint.use_milli, load.wait_us,
-                         load.callee_pressure_milli, load.revision,
-                         load.endpoint.fault_milli, load.endpoint.hold_us,
-                         load.endpoint.has_limit, load.endpoint.limit_milli,
-                         load.endpoint.speed_milli, load.endpoint.run_us);
+    eel_load_write (&load, lines);
   if (lines != NULL)
     {
       eel_sharing_write (relay, lines);
