--- a/tests/unit/test_team_cap_worlds.cc
+++ b/tests/unit/test_team_cap_worlds.cc
@@ -162,3 +162,35 @@
                 (double)result.messages / c.nodes / 15, result.holders_lost);
     }
 }
+
+static double
+bytes_per_node (uint32_t nodes)
+{
+  cap_world_config config;
+
+  config.seed = 3;
+  config.nodes = nodes;
+  config.teams = 73;
+  // Demand grows with the nodes.
+  config.cap_per_s = 58.0 * nodes;
+  config.demand = 0.625;
+  config.length_us = 6 * EEL_US_PER_S;
+  return (double)run_cap_world (config).bytes / nodes / 6;
+}
+
+// Guards against messages that grow with the number of nodes: 0.5 KB a second
+// and node at 60.  CAP_NODES plays one more size.
+TEST (TeamCapWorlds, MessagesStayFewAsNodesAreAdded)
+{
+  const char *text = getenv ("CAP_NODES");
+  double few = bytes_per_node (60);
+  double many = bytes_per_node (300);
+
+  EXPECT_LE (few, 500);
+  EXPECT_LE (many, few * 300 / 60);
+  if (getenv ("CAP_SHOW") != nullptr)
+    printf ("bytes/s/node: 60 nodes %.0f, 300 nodes %.0f\n", few, many);
+  if (text != nullptr)
+    printf ("bytes/s/node: %s nodes %.0f\n", text,
+            bytes_per_node ((uint32_t)strtoul (text, nullptr, 10)));
+}
