Ask nodes that were stopped for 10 s for a key withdrawn meanwhile

test_teams.sh stopped two nodes for 3 s and asked each once. It stops all three for 10 s now, beside that, and asks while they are stopped, at once when they go on and for 1 s: none serves the key.

--- a/tests/run/test_teams.sh
+++ b/tests/run/test_teams.sh
@@ -130,6 +130,34 @@
 	fleet_until all_answer 401 /safe/x kalpha.7Qz $VMS
 	fleet_until all_answer 401 /safe/x kbeta.9Wx $VMS
 	echo "and tells them: key that two teams hold $(status 2 /safe/x kbeta.9Wx)"
+	teams_config 6 kalpha.7Qz
+	fleet_until all_answer 200 /safe/x kalpha.7Qz $VMS
+	for vm in $VMS; do
+		kill -STOP "$(fleet_pid "node$vm")"
+	done
+	teams_config 7 kgone.3Rt
+	sleep 10
+	# Asked while they are stopped, at once when they go on and for 1 s.
+	asking=""
+	for vm in $VMS; do
+		status "$vm" /safe/x kalpha.7Qz >"$FLEET_DIR/stopped$vm" &
+		asking="$asking $!"
+	done
+	sleep 0.2
+	for vm in $VMS; do
+		kill -CONT "$(fleet_pid "node$vm")"
+	done
+	for vm in $VMS; do
+		statuses "$vm" kalpha.7Qz >"$FLEET_DIR/woken$vm" &
+		asking="$asking $!"
+	done
+	wait $asking
+	for vm in $VMS; do
+		[ -s "$FLEET_DIR/stopped$vm" ] && [ -s "$FLEET_DIR/woken$vm" ]
+		echo "stopped for 10 s, key withdrawn meanwhile: served $(cat "$FLEET_DIR/stopped$vm" "$FLEET_DIR/woken$vm" | grep -cv -e 401 -e 503)"
+	done
+	fleet_until all_answer 401 /safe/x kalpha.7Qz $VMS
+	fleet_until all_answer 200 /safe/x kgone.3Rt $VMS
 	for vm in $VMS; do
 		curl -s "http://127.0.0.$vm:9464/metrics" >"$FLEET_DIR/metrics$vm.out" || true
 		curl -s "http://127.0.0.$vm:$((FLEET_PORT + 4))/api/readiness" >"$FLEET_DIR/ready$vm.out"
