Show that second sends and calls of runs take no token

SecondSendTakesNoToken counts what holders have granted for a request whose first endpoint doesn't run it, CallsOfARunTakeNoToken sends 40 calls beside a run of a team that may use 10 at once: one token each.

--- a/tests/unit/test_relay_caps.cc
+++ b/tests/unit/test_relay_caps.cc
@@ -80,6 +80,26 @@
     return 3;
   }
 
+  // Tokens that all holders have given out.
+  uint64_t
+  granted ()
+  {
+    uint64_t sum = 0;
+
+    for (size_t at = 0; at < 3; at++)
+      sum += caps (at)->holder.granted;
+    return sum;
+  }
+
+  void
+  make_public (const std::string &prefix)
+  {
+    for (auto &node : cluster.nodes)
+      for (uint32_t i = 0; i < node->relay.routes->count; i++)
+        if (node->relay.routes->routes[i].prefix == prefix)
+          node->relay.routes->routes[i].is_public = 1;
+  }
+
   size_t
   arrivals ()
   {
@@ -292,3 +312,62 @@
   EXPECT_TRUE (cluster.run_until (
       [this] { return caps (0)->counters.dropped->value == 4; }));
 }
+
+// The endpoint that is asked first doesn't run the request.
+TEST_F (relay_caps, SecondSendTakesNoToken)
+{
+  cluster.run_ms (1500);
+  for (auto &node : cluster.nodes)
+    node->upstream.answer
+        = [this] (raw_upstream &, raw_conn &conn, const std::string &request) {
+            bool first = arrivals () == 1;
+
+            raw_upstream::write (
+                conn, answer_text (request, "",
+                                   first ? "503 Service Unavailable" : "200 OK",
+                                   first ? "Not-Run: 1\r\n" : ""));
+          };
+  EXPECT_EQ (status_of (send (0)), "200");
+  EXPECT_EQ (arrivals (), 2u);
+  // What is asked for goes out within 40 ms.
+  cluster.run_ms (200);
+  EXPECT_EQ (granted (), 1u);
+}
+
+// Calls of a run enter at its node, without a key and on public routes.
+TEST_F (relay_caps, CallsOfARunTakeNoToken)
+{
+  raw_conn *run = nullptr;
+  std::string held;
+  auto conn = cluster.connect (0);
+
+  cluster.run_ms (1500);
+  make_public ("/once/");
+  for (auto &node : cluster.nodes)
+    node->upstream.answer = [&run, &held] (raw_upstream &, raw_conn &at,
+                                           const std::string &text) {
+      if (text.find ("/safe/") == std::string::npos)
+        {
+          raw_upstream::write (at, answer_text (text, "ok"));
+          return;
+        }
+      run = &at;
+      held = text;
+    };
+  raw_upstream::write (*conn, request_text ("GET", "/safe/x", "r1",
+                                            "Authorization: Bearer ka\r\n"));
+  ASSERT_TRUE (cluster.run_until ([&run] { return run != nullptr; }));
+  // More than the team's cap allows at once.
+  for (int i = 0; i < 40; i++)
+    EXPECT_EQ (status_of (cluster.send_request (
+                   request_text ("POST", "/once/x", "c" + std::to_string (i)),
+                   (size_t)i % 3)),
+               "200");
+  raw_upstream::write (*run, answer_text (held, "ok"));
+  EXPECT_TRUE (
+      cluster.run_until ([&conn] { return status_of (conn->in) == "200"; }));
+  // What is asked for goes out within 40 ms.
+  cluster.run_ms (200);
+  EXPECT_EQ (granted (), 1u);
+  bufferevent_free (conn->bev);
+}
