Don't take a pause of the process for a connect that failed

When the time for a connect is up and the process reads its events only then, libevent reports the time-out and drops that the connection stands. A node that was paused for longer than 300 ms took another one for unreachable, and after 400 ms its own endpoint for crashed. The kernel is asked how the connect has ended before a time-out counts.

RelayStall.EndpointThatAcceptsInAPauseIsReached failed before (460 ms pause, accepts 0), and passes; what refuses is still told.

--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -309,6 +309,9 @@
     }
   if ((what & BEV_EVENT_EOF) != 0)
     link_eof (link);
+  else if ((what & BEV_EVENT_TIMEOUT) != 0 && !link->connected
+           && eel_socket_connect_has_ended (bufferevent_getfd (bev)))
+    bufferevent_enable (bev, EV_WRITE);
   else if ((what & BEV_EVENT_TIMEOUT) != 0)
     link_fail (link, "connect timed out");
   else
--- a/src/relay/reach.c
+++ b/src/relay/reach.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "eelgrasslatch/types.h"
+#include "relay/socket.h"
 
 /* Connecting takes milliseconds on one machine. */
 #define CONNECT_TIMEOUT_US (400 * EEL_US_PER_MS)
@@ -37,6 +38,12 @@
 {
   struct eel_reach *reach = data;
 
+  if ((what & BEV_EVENT_TIMEOUT) != 0
+      && eel_socket_connect_has_ended (bufferevent_getfd (bev)))
+    {
+      bufferevent_enable (bev, EV_WRITE);
+      return;
+    }
   bufferevent_free (bev);
   reach->bev = NULL;
   reach->checked (reach->owner, (what & BEV_EVENT_CONNECTED) != 0);
--- a/src/relay/socket.c
+++ b/src/relay/socket.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 /* With a second before the first and after each: found after 4 s. */
@@ -37,6 +38,14 @@
   set_option (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, (int)timeout_ms);
 }
 
+int
+eel_socket_connect_has_ended (int fd)
+{
+  struct pollfd socket = { .fd = fd, .events = POLLOUT };
+
+  return fd >= 0 && poll (&socket, 1, 0) > 0;
+}
+
 /* True while the kernel repeats a segment or a window probe.  Where it gives no
    such information the peer counts as reachable. */
 static int
--- a/src/relay/socket.h
+++ b/src/relay/socket.h
@@ -16,6 +16,9 @@
 /* Sets TCP_USER_TIMEOUT, which also ends the connection to a peer that reads
    nothing for that long; 0: none. */
 void eel_socket_set_user_timeout (int fd, uint32_t timeout_ms);
+/* True when the kernel knows how a connect has ended.  After a pause of the
+   process libevent reports that the time for it is up, and not that. */
+int eel_socket_connect_has_ended (int fd);
 
 /* Watches a connection with unsent output. */
 struct eel_socket_watch
