Give a node its time to accept a request again after a pause

The time in which a node accepts a request ran on while the sender itself was paused: when it went on, the request was given up as unreachable, and with it the idempotent ones that the node was at work on, since nothing had been read for so long.

--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -107,6 +107,7 @@
   /* The receiver has accepted the request: the body may be sent. */
   uint8_t accepted;
   struct event *accept_timer;
+  int64_t accept_due_us;
   int64_t accepted_us;
   uint8_t body_done;
   uint8_t queued;
--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -18,6 +18,8 @@
 /* A node accepts within milliseconds; a lost packet is retransmitted after
    200 ms, and CPU throttling can stop a process for up to 100 ms. */
 #define ACCEPT_TIMEOUT_US (350 * EEL_US_PER_MS)
+/* A timer that fires this much late shows that the process was paused. */
+#define PAUSE_MIN_US (50 * EEL_US_PER_MS)
 /* Bounds of what a node may report of its endpoint. */
 #define USE_MAX_MILLI 1000000
 #define LOAD_TIME_MAX_US (3600 * EEL_US_PER_S)
@@ -176,8 +178,18 @@
     }
 }
 
+static int
+add_timer (struct eel_attempt *attempt)
+{
+  const struct timeval limit = { .tv_usec = ACCEPT_TIMEOUT_US };
+
+  attempt->accept_due_us = eel_clock_us () + ACCEPT_TIMEOUT_US;
+  return event_add (attempt->accept_timer, &limit) == 0;
+}
+
 /* The node has not accepted the request, and without the body it can't run it:
-   another endpoint may be tried safely. */
+   another endpoint may be tried safely.  A pause of this process says nothing
+   about the node. */
 static void
 on_accept_timeout (evutil_socket_t fd, short what, void *data)
 {
@@ -187,6 +199,8 @@
 
   (void)fd;
   (void)what;
+  if (now_us - attempt->accept_due_us > PAUSE_MIN_US && add_timer (attempt))
+    return;
   count_traffic (attempt, attempt->link);
   eel_link_cancel (attempt->link);
   attempt->link = NULL;
@@ -266,12 +280,9 @@
 static int
 start_timer (struct eel_attempt *attempt)
 {
-  const struct timeval limit = { .tv_usec = ACCEPT_TIMEOUT_US };
-
   attempt->accept_timer
       = event_new (attempt->relay->base, -1, 0, on_accept_timeout, attempt);
-  return attempt->accept_timer != NULL
-         && event_add (attempt->accept_timer, &limit) == 0;
+  return attempt->accept_timer != NULL && add_timer (attempt);
 }
 
 /* Sends the head; the body follows when the node has accepted it. */
--- a/tests/unit/test_relay_stall.cc
+++ b/tests/unit/test_relay_stall.cc
@@ -4,9 +4,56 @@
 
 extern "C"
 {
+#include "relay/link.h"
 #include "relay/reach.h"
 }
 
+static bool
+is_connecting (const struct eel_relay &relay)
+{
+  GHashTableIter pools;
+  gpointer pool;
+
+  g_hash_table_iter_init (&pools, relay.peer_pools);
+  while (g_hash_table_iter_next (&pools, nullptr, &pool))
+    {
+      const struct eel_link *link
+          = static_cast<struct eel_pool *> (pool)->active;
+
+      if (link != nullptr && !link->connected)
+        return true;
+    }
+  return false;
+}
+
+// Guards against a process that was paused while it connected and takes its own
+// pause for a node that can't be reached: the connection stands by then.
+TEST (RelayStall, ConnectionThatStoodInAPauseIsUsed)
+{
+  relay_cluster cluster (2);
+  size_t pauses = 0;
+  auto caller = cluster.connect ();
+
+  cluster.list_upstream (1);
+  cluster.set_routes ();
+  raw_upstream::write (*caller, request_text ("POST", "/once/x", "r1"));
+  // One round of the loop at a time, so that the connect is seen under way.
+  for (int64_t end_us = eel_clock_us () + 5 * EEL_US_PER_S;
+       caller->in.empty () && eel_clock_us () < end_us; usleep (200))
+    {
+      event_base_loop (cluster.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+      if (pauses == 0 && is_connecting (cluster.nodes[0]->relay))
+        {
+          pauses++;
+          usleep (460000);
+        }
+    }
+  EXPECT_EQ (pauses, 1u);
+  EXPECT_EQ (status_of (caller->in), "200");
+  EXPECT_EQ (cluster.nodes[1]->upstream.requests.size (), 1u);
+  bufferevent_free (caller->bev);
+}
+
 struct reach_result
 {
   int answers = 0;
