Report the wait of each rank, and let requests leave by their own

The use of an endpoint, which nodes reported, is that of all that is queued there. A request of the least important rank waits for longer, as those of other ranks that arrive later start before it, and was kept at home until it was late; the others wait for less and left too early. The node beside the endpoint reports the waits of up to four ranks, and the domain flow compares that of the request's rank. It is a second line of Eel-Load, which nodes of earlier versions read the first line of.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -37,6 +37,17 @@
   EEL_INSTANCE_REMOVED
 };
 
+/* Expected wait of a request of the rank that arrives at an endpoint. */
+struct eel_rank_wait
+{
+  uint32_t wait_ms;
+  uint8_t rank;
+};
+
+/* Ranks of which waits are kept; the one that was unused for longest gives way.
+ */
+#define EEL_RANK_WAITS_MAX 4
+
 /* What the node beside an endpoint tells with each answer. */
 struct eel_instance_report
 {
@@ -55,6 +66,10 @@
   /* Usual time that a run of the route holds a slot; 0: unknown. */
   uint64_t route;
   int64_t run_us;
+  /* By ascending rank; none while an arriving request starts at once, or by
+     nodes of earlier versions. */
+  struct eel_rank_wait rank_waits[EEL_RANK_WAITS_MAX];
+  uint32_t rank_wait_count;
 };
 
 /* Usual time of a route at an endpoint, as its node reported it. */
--- a/include/eelgrasslatch/domain_flow.h
+++ b/include/eelgrasslatch/domain_flow.h
@@ -34,6 +34,15 @@
   double kilobyte_cost;
 };
 
+/* Wait at home of requests of one rank. */
+struct eel_flow_rank
+{
+  uint8_t rank;
+  /* EWMA of the expected wait. */
+  double home_us;
+  int64_t home_at_us;
+};
+
 /* Requests of one service at this node. */
 struct eel_flow_service
 {
@@ -41,9 +50,11 @@
   uint8_t in_use;
   /* Some of its requests leave; told with each change. */
   uint8_t is_leaving;
-  /* EWMA of the expected wait at home. */
+  /* Expected wait at home of the last request, and those by rank. */
   double home_us;
   int64_t home_at_us;
+  struct eel_flow_rank ranks[EEL_RANK_WAITS_MAX];
+  uint32_t rank_count;
   /* When a domain without fresh reports was probed last. */
   int64_t probed_us;
   /* A domain that refused a request gets none until then. */
@@ -112,6 +123,7 @@
   int64_t target_us;
   /* Nodes beside endpoints of the own domain that had no slot in time. */
   uint8_t refusals;
+  uint8_t rank;
 };
 
 /*
--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eelgrasslatch/directory.h"
 #include "eelgrasslatch/fair_order.h"
 #include "eelgrasslatch/rate_limit.h"
 #include "eelgrasslatch/types.h"
@@ -67,6 +68,15 @@
   EEL_GATE_REFUSE
 };
 
+/* Slots that the requests of a rank take. */
+struct eel_gate_rank
+{
+  uint8_t rank;
+  /* Slot time asked for, decaying. */
+  double asked_us;
+  int64_t asked_at_us;
+};
+
 struct eel_gate
 {
   uint32_t limit;
@@ -87,6 +97,8 @@
   int64_t use_at_us;
   uint64_t started;
   uint64_t refused;
+  struct eel_gate_rank ranks[EEL_RANK_WAITS_MAX];
+  uint32_t rank_count;
 };
 
 void eel_gate_init (struct eel_gate *gate, uint32_t slots);
@@ -134,6 +146,12 @@
 
 /* Expected wait of a request of the least important rank that arrives now. */
 int64_t eel_gate_wait_us (const struct eel_gate *gate, int64_t now_us);
+/* Expected waits of requests that arrive now, by ascending rank, of the ranks
+   that were asked for last; requests of more important ranks that arrive later
+   are counted in.  Returns their number, 0 while one would start at once. */
+uint32_t eel_gate_rank_waits (const struct eel_gate *gate,
+                              int64_t now_us,
+                              struct eel_rank_wait *waits);
 /* Time until eel_gate_next has to be called although no slot becomes free: a
    queued request may start by its rate then, or expires.  0: none is queued. */
 int64_t eel_gate_next_change_us (const struct eel_gate *gate, int64_t now_us);
--- a/include/eelgrasslatch/place.h
+++ b/include/eelgrasslatch/place.h
@@ -84,6 +84,10 @@
   int64_t hold_us;
 };
 
+/* Expected wait at the endpoint of a request of the rank, or of the next less
+   important one that is known; negative: not told. */
+int64_t eel_place_rank_wait_us (const struct eel_instance_report *report,
+                                uint8_t rank);
 /* Calls each for the usable endpoints of the service. */
 void eel_place_describe (const struct eel_directory *directory,
                          const struct eel_place_query *query,
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -188,6 +188,7 @@
     {
       gate->running++;
       gate->started++;
+      eel_gate_rank_asked (gate, item->rank, now_us);
       if (own.entry != EEL_FAIR_NONE)
         eel_fair_order_started (&gate->fair, own.entry, own.expected_us,
                                 now_us);
@@ -200,6 +201,7 @@
     }
   if (own.entry != EEL_FAIR_NONE)
     eel_fair_order_queued (&gate->fair, own.entry, own.expected_us);
+  eel_gate_rank_asked (gate, item->rank, now_us);
   gate->shares[gate->queued] = own;
   gate->queue[gate->queued++] = *item;
   eel_gate_share_queued (gate, gate->queued - 1, now_us);
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -21,7 +21,8 @@
       = { .route = entry->call.route,
           .route_target_us = entry->call.route_target_us,
           .target_us = entry->call.target_us,
-          .refusals = entry->refusals_at_home };
+          .refusals = entry->refusals_at_home,
+          .rank = entry->call.rank };
 
   if (fingerprint != 0
       && eel_quarantine_find (&relay->quarantine, fingerprint, now_us) != NULL)
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -29,6 +29,11 @@
       = eel_run_times_speed_milli (&relay->run_times, now_us);
   load->endpoint.route = route;
   load->endpoint.run_us = eel_run_times_usual_us (&relay->run_times, route);
+  load->endpoint.rank_wait_count
+      = relay->config.domain_flow.enabled && !relay->stopping
+            ? eel_gate_rank_waits (&relay->gate, now_us,
+                                   load->endpoint.rank_waits)
+            : 0;
   load->endpoint.has_limit = (uint8_t)(relay->gate.rate.per_s >= 0);
   load->endpoint.limit_milli = load->endpoint.has_limit
                                    ? (uint64_t)(relay->gate.rate.per_s * 1000)
--- a/src/relay/load_field.c
+++ b/src/relay/load_field.c
@@ -12,6 +12,23 @@
 /* Numbers in the field, and in that of earlier versions. */
 #define LOAD_FIELDS 10
 #define LOAD_FIELDS_EARLIER 8
+/* Begins the list of waits.  It is a further line of the same field: nodes of
+   earlier versions read only the first, and pass neither to callers. */
+#define RANK_WAITS "rank_waits_ms"
+
+static void
+write_rank_waits (const struct eel_instance_report *endpoint,
+                  struct evbuffer *lines)
+{
+  if (endpoint->rank_wait_count == 0)
+    return;
+  evbuffer_add_printf (lines, "%s: %s", EEL_RELAY_LOAD, RANK_WAITS);
+  for (uint32_t i = 0; i < endpoint->rank_wait_count; i++)
+    evbuffer_add_printf (lines, " %u:%" PRIu32,
+                         (unsigned)endpoint->rank_waits[i].rank,
+                         endpoint->rank_waits[i].wait_ms);
+  evbuffer_add_printf (lines, "\r\n");
+}
 
 void
 eel_load_write (const struct eel_relay_load *load, struct evbuffer *lines)
@@ -26,6 +43,50 @@
                        endpoint->fault_milli, endpoint->hold_us,
                        endpoint->has_limit, endpoint->limit_milli,
                        endpoint->speed_milli, endpoint->run_us);
+  write_rank_waits (endpoint, lines);
+}
+
+static const char *
+find_rank_waits (const struct eel_head *head)
+{
+  const size_t bytes = strlen (RANK_WAITS);
+  const char *text;
+
+  for (uint32_t n = 1;
+       (text = eel_head_get_nth (head, EEL_RELAY_LOAD, n)) != NULL; n++)
+    if (strncmp (text, RANK_WAITS, bytes) == 0)
+      return text + bytes;
+  return NULL;
+}
+
+/* Returns 0 when the list is malformed.  What exceeds the table is left out:
+   the least important rank kept stands for the rest. */
+static int
+read_rank_waits (const char *text, struct eel_instance_report *endpoint)
+{
+  uint32_t count = 0;
+  int last = -1;
+
+  while (*text != 0)
+    {
+      uint32_t rank;
+      uint32_t wait_ms;
+      int end = 0;
+
+      if (sscanf (text, " %" SCNu32 ":%" SCNu32 "%n", &rank, &wait_ms, &end)
+              != 2
+          || (int64_t)rank <= last || rank > UINT8_MAX
+          || wait_ms > LOAD_TIME_MAX_US / EEL_US_PER_MS)
+        return 0;
+      if (count < EEL_RANK_WAITS_MAX)
+        endpoint->rank_waits[count++]
+            = (struct eel_rank_wait){ .rank = (uint8_t)rank,
+                                      .wait_ms = wait_ms };
+      last = (int)rank;
+      text += end;
+    }
+  endpoint->rank_wait_count = count;
+  return 1;
 }
 
 static int
@@ -65,6 +126,9 @@
   endpoint->has_limit = (uint8_t)has_limit;
   if (count != LOAD_FIELDS && count != LOAD_FIELDS_EARLIER)
     return 0;
-  return (text[end] == 0 || (count == LOAD_FIELDS && text[end] == ' '))
-         && is_possible (load, has_limit);
+  if ((text[end] != 0 && (count != LOAD_FIELDS || text[end] != ' '))
+      || !is_possible (load, has_limit))
+    return 0;
+  text = find_rank_waits (head);
+  return text == NULL || read_rank_waits (text, endpoint);
 }
--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -44,6 +44,9 @@
   uint32_t fresh;
   double use_milli_sum;
   double hold_us_sum;
+  /* Fresh reports of the wait of the request's rank. */
+  uint32_t told;
+  double told_us_sum;
   /* Free slots that fresh reports tell of. */
   double room_slots;
   /* Of the endpoint with the least expected time to an answer: its wait, the
@@ -57,6 +60,8 @@
 struct service_view
 {
   struct domain_view domains[EEL_DOMAINS_MAX];
+  /* Of the request. */
+  uint8_t rank;
   /* Set in the second pass, once the means are known. */
   uint8_t has_means;
   /* Endpoints of other domains that were tried. */
@@ -69,11 +74,23 @@
   return count > 0 ? sum / count : 0;
 }
 
+/* Returns the wait that the endpoint has told of the rank, negative if none. */
+static int64_t
+told_us (const struct eel_place_seen *seen, uint8_t rank)
+{
+  return seen->is_fresh ? eel_place_rank_wait_us (&seen->instance->report, rank)
+                        : -1;
+}
+
 /* Adds the endpoint's expected time to an answer.  A report that ages tells
    less than the mean of its domain. */
 static void
-add_finish (struct domain_view *domain, const struct eel_place_seen *seen)
+add_finish (struct domain_view *domain,
+            const struct eel_place_seen *seen,
+            uint8_t rank)
 {
+  double told = (double)told_us (seen, rank);
+  double told_mean = mean_of (domain->told_us_sum, domain->told);
   double mean = mean_of (domain->use_milli_sum, domain->fresh);
   double age = seen->is_fresh ? (double)seen->age_us / REPORT_LIFE_US : 1;
   double use = domain->fresh > 0 ? mean : seen->use_milli;
@@ -85,6 +102,10 @@
   if (age < 1)
     use = seen->use_milli + age * (mean - seen->use_milli);
   wait_us = use > 1000 ? hold_us * (use - 1000) / 1000 : 0;
+  if (told >= 0)
+    wait_us = told + age * (told_mean - told);
+  else if (!seen->is_fresh && domain->told > 0)
+    wait_us = told_mean;
   if (seen->is_fresh && use < FULL_MILLI)
     domain->room_slots += seen->instance->slots * (FULL_MILLI - use) / 1000;
   if (domain->wait_us < 0
@@ -123,7 +144,7 @@
     return;
   if (view->has_means)
     {
-      add_finish (domain, seen);
+      add_finish (domain, seen, view->rank);
       return;
     }
   domain->sound++;
@@ -133,15 +154,22 @@
       domain->use_milli_sum += seen->use_milli;
       domain->hold_us_sum += (double)seen->hold_us;
     }
+  if (told_us (seen, view->rank) >= 0)
+    {
+      domain->told++;
+      domain->told_us_sum += (double)told_us (seen, view->rank);
+    }
 }
 
 static void
 view_service (const struct eel_directory *directory,
               const struct eel_place_query *query,
+              uint8_t rank,
               int64_t now_us,
               struct service_view *view)
 {
   memset (view, 0, sizeof *view);
+  view->rank = rank;
   for (uint32_t i = 0; i < EEL_DOMAINS_MAX; i++)
     view->domains[i].wait_us = -1;
   eel_place_describe (directory, query, now_us, add_seen, view);
@@ -269,8 +297,9 @@
   const struct domain_view *home = &view->domains[EEL_HOME_DOMAIN];
   int64_t left_us = request->target_us - now_us;
   int is_refused = request->refusals >= HOME_REFUSALS;
-  double home_us = eel_flow_smooth_home (row, home->wait_us, now_us)
-                   + calls_us (flow, request, EEL_HOME_DOMAIN, now_us);
+  double home_us
+      = eel_flow_smooth_home (row, request->rank, home->wait_us, now_us)
+        + calls_us (flow, request, EEL_HOME_DOMAIN, now_us);
   double at_home = is_refused
                        ? 0
                        : in_time_share (home_us, home->hold_us, left_us)
@@ -309,7 +338,7 @@
   struct service_view view;
   uint8_t domain;
 
-  view_service (directory, query, now_us, &view);
+  view_service (directory, query, request->rank, now_us, &view);
   if (view.domains[EEL_HOME_DOMAIN].vms < HOME_VMS_MIN
       || (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0))
     return EEL_ANY_DOMAIN;
--- a/src/routing/flow.h
+++ b/src/routing/flow.h
@@ -18,8 +18,9 @@
 /* Row of a service; evicts the one that was unused for longest if need be. */
 struct eel_flow_service *eel_flow_service (struct eel_domain_flow *flow,
                                            uint32_t service);
-/* Adds the expected wait at home and returns the smoothed one. */
+/* Adds the expected wait of a rank at home and returns the smoothed one. */
 double eel_flow_smooth_home (struct eel_flow_service *row,
+                             uint8_t rank,
                              double home_us,
                              int64_t now_us);
 
--- a/src/routing/flow_service.c
+++ b/src/routing/flow_service.c
@@ -41,19 +41,42 @@
   return oldest;
 }
 
+/* Returns the row of a rank; a new one evicts the least recently used. */
+static struct eel_flow_rank *
+rank_row (struct eel_flow_service *service, uint8_t rank)
+{
+  struct eel_flow_rank *oldest = &service->ranks[0];
+
+  for (uint32_t i = 0; i < service->rank_count; i++)
+    {
+      if (service->ranks[i].rank == rank)
+        return &service->ranks[i];
+      if (service->ranks[i].home_at_us < oldest->home_at_us)
+        oldest = &service->ranks[i];
+    }
+  if (service->rank_count < EEL_RANK_WAITS_MAX)
+    oldest = &service->ranks[service->rank_count++];
+  *oldest = (struct eel_flow_rank){ .rank = rank };
+  return oldest;
+}
+
 double
 eel_flow_smooth_home (struct eel_flow_service *row,
+                      uint8_t rank,
                       double home_us,
                       int64_t now_us)
 {
-  double passed_us = (double)(now_us - row->home_at_us);
-  double weight = row->home_at_us == 0 || passed_us < 0
+  struct eel_flow_rank *of_rank = rank_row (row, rank);
+  double passed_us = (double)(now_us - of_rank->home_at_us);
+  double weight = of_rank->home_at_us == 0 || passed_us < 0
                       ? 1
                       : 1 - exp (-passed_us / HOME_WINDOW_US);
 
-  row->home_us += weight * (home_us - row->home_us);
+  of_rank->home_us += weight * (home_us - of_rank->home_us);
+  of_rank->home_at_us = now_us;
+  row->home_us = of_rank->home_us;
   row->home_at_us = now_us;
-  return row->home_us;
+  return of_rank->home_us;
 }
 
 void
--- a/src/routing/place_outcome.c
+++ b/src/routing/place_outcome.c
@@ -69,3 +69,15 @@
   if (!accepted)
     eel_place_accepted (instance);
 }
+
+int64_t
+eel_place_rank_wait_us (const struct eel_instance_report *report, uint8_t rank)
+{
+  uint32_t i = 0;
+
+  if (report->rank_wait_count == 0)
+    return -1;
+  while (i + 1 < report->rank_wait_count && report->rank_waits[i].rank < rank)
+    i++;
+  return (int64_t)report->rank_waits[i].wait_ms * EEL_US_PER_MS;
+}
--- a/tests/unit/domain_load.cc
+++ b/tests/unit/domain_load.cc
@@ -143,6 +143,7 @@
   request_info.route_target_us = TARGET_US;
   request_info.target_us = each.sent_us + TARGET_US;
   request_info.refusals = each.refusals;
+  request_info.rank = each.rank;
   if (used == rule::FLOW)
     return eel_domain_flow_pick (&from.flow, &from.directory, &query,
                                  &request_info, now_us, &rng, &each.is_guest);
@@ -209,6 +210,9 @@
 
   report.use_milli = eel_gate_use_milli (gate, now_us);
   report.hold_us = (int64_t)gate->hold_us;
+  if (played.tells_ranks)
+    report.rank_wait_count
+        = eel_gate_rank_waits (gate, now_us, report.rank_waits);
   next.report = report;
   if (!senders[each.sender].storage[each.at].same_domain)
     counts.bytes += what == REFUSED       ? SMALL_BYTES
@@ -233,7 +237,7 @@
 {
   const request &each = requests[index];
   const struct eel_gate_item item
-      = { 1, now_us, each.sent_us + TARGET_US, each.sent_us + LIMIT_US,
+      = { each.rank, now_us, each.sent_us + TARGET_US, each.sent_us + LIMIT_US,
           reinterpret_cast<void *> (index) };
 
   switch (each.is_guest ? eel_gate_offer_guest (&gates[each.at], &item, now_us)
@@ -306,6 +310,8 @@
   eel_domain_flow_report_way (&from.flow, instance->domain,
                               2 * path_us (each, each.at));
   counts.served++;
+  counts.served_of[each.rank]++;
+  counts.in_time_of[each.rank] += next.at_us - each.sent_us <= TARGET_US;
   counts.in_time += next.at_us - each.sent_us <= TARGET_US;
   counts.latencies_us.push_back (next.at_us - each.sent_us);
 }
@@ -337,7 +343,11 @@
                               0,
                               0,
                               0,
-                              0 });
+                              0,
+                              1 });
+        if (played.urgent > 0 && eel_rng_unit (&rng) < played.urgent)
+          requests.back ().rank = 0;
+        counts.requests_of[requests.back ().rank]++;
         events.push (
             { (int64_t)(at * 1e6), ARRIVE, requests.size () - 1, 0, {}, 0 });
       }
--- a/tests/unit/domain_load.h
+++ b/tests/unit/domain_load.h
@@ -45,6 +45,10 @@
     uint32_t domains;
     // From this second on, nothing passes to the other domains.
     int cut_at_s;
+    // Share of the requests that are of a more important rank.
+    double urgent = 0;
+    // Nodes report the wait of each rank.
+    bool tells_ranks = true;
   };
 
   struct request
@@ -57,6 +61,7 @@
     uint32_t at;
     uint8_t refusals;
     uint8_t is_guest;
+    uint8_t rank;
   };
   enum kind
   {
@@ -88,6 +93,10 @@
     uint32_t in_time = 0;
     uint32_t refused = 0;
     uint32_t refused_with_room = 0;
+    // Of the two ranks.
+    uint32_t requests_of[2] = {};
+    uint32_t in_time_of[2] = {};
+    uint32_t served_of[2] = {};
     uint32_t left = 0;
     uint32_t left_in_vain = 0;
     uint64_t bytes = 0;
--- a/tests/unit/fair_world.h
+++ b/tests/unit/fair_world.h
@@ -330,7 +330,7 @@
     call &each = calls[index];
     struct eel_gate *gate = &gates[each.at];
     const struct eel_instance_report report
-        = { eel_gate_use_milli (gate, now_us), 0, 0, 0, 0, 0, 0, 0 };
+        = { eel_gate_use_milli (gate, now_us), 0, 0, 0, 0, 0, 0, 0, {}, 0 };
     int64_t wait_us = eel_gate_wait_us (gate, now_us);
     std::vector<struct eel_fair_excess> told (EEL_CROWDING_TOLD_MAX);
     bool hears = each.node != (uint32_t)deaf && eel_rng_unit (&rng) >= lost;
--- a/tests/unit/test_directory.cc
+++ b/tests/unit/test_directory.cc
@@ -41,7 +41,7 @@
   answered (const char *id, uint32_t use_milli, int64_t now_us)
   {
     const struct eel_instance_report report
-        = { use_milli, 0, 0, 0, 0, 0, 0, 0 };
+        = { use_milli, 0, 0, 0, 0, 0, 0, 0, {}, 0 };
 
     eel_place_answered (eel_directory_find (&directory, id), &report, now_us);
   }
--- a/tests/unit/test_gate.cc
+++ b/tests/unit/test_gate.cc
@@ -144,6 +144,54 @@
   EXPECT_EQ (gate.queued, 0u);
 }
 
+// Reports what an arriving request of each rank waits: behind what is queued of
+// its own and more important ranks, and of those that arrive meanwhile.
+TEST (Gate, TellsTheWaitOfEachRank)
+{
+  struct eel_gate gate;
+  struct eel_rank_wait waits[EEL_RANK_WAITS_MAX];
+  int64_t now_us = 0;
+
+  eel_gate_init (&gate, 10);
+  gate.last_rank = 5;
+  gate.hold_us = 90 * EEL_US_PER_MS;
+  EXPECT_EQ (eel_gate_rank_waits (&gate, now_us, waits), 0U);
+  // Half of the slots are asked for by rank 1.
+  for (uint32_t i = 0; i < 500; i++, now_us += 20 * EEL_US_PER_MS)
+    {
+      struct eel_gate_item each = item (1, 100000, 200000, 1);
+
+      ASSERT_EQ (eel_gate_offer (&gate, &each, now_us), EEL_GATE_START);
+      eel_gate_done (&gate, -1, now_us);
+    }
+  EXPECT_EQ (eel_gate_rank_waits (&gate, now_us, waits), 0U);
+  gate.running = gate.limit;
+  for (uint8_t rank : { 5, 5, 3, 3, 1 })
+    {
+      struct eel_gate_item each = item (rank, 100000, 200000, 1);
+
+      ASSERT_EQ (eel_gate_offer (&gate, &each, now_us), EEL_GATE_QUEUE);
+    }
+  ASSERT_EQ (eel_gate_rank_waits (&gate, now_us, waits), 3U);
+  EXPECT_EQ (waits[0].rank, 1);
+  EXPECT_EQ (waits[1].rank, 3);
+  EXPECT_EQ (waits[2].rank, 5);
+  // 10 ms for each slot; half of the slots are left to rank 3, fewer to 5.
+  EXPECT_EQ (waits[0].wait_ms, 20U);
+  EXPECT_NEAR (waits[1].wait_ms, 80, 10);
+  EXPECT_NEAR (waits[2].wait_ms, 125, 15);
+  // The rank that was asked for least recently gives way.
+  for (uint8_t rank : { 6, 7 })
+    {
+      struct eel_gate_item each = item (rank, 100000, 200000, 1);
+
+      now_us++;
+      ASSERT_EQ (eel_gate_offer (&gate, &each, now_us), EEL_GATE_QUEUE);
+    }
+  ASSERT_EQ (eel_gate_rank_waits (&gate, now_us, waits), 4U);
+  EXPECT_EQ (waits[3].rank, 7);
+}
+
 // A guest starts like any other while slots are free.  It waits for less time,
 // and whatever its rank only for as long as it can be in time.
 TEST (Gate, GuestsWaitForLess)
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -103,6 +103,8 @@
                 0,
                 0,
                 0,
+                0,
+                {},
                 0 };
 
         eel_place_answered (picked, &report, now_us);
@@ -183,7 +185,7 @@
     for (const char *id : { "far-1", "far-2" })
       {
         const struct eel_instance_report report
-            = { 100, 0, load.at (id).hold_us, 0, 0, 0, 0, 0 };
+            = { 100, 0, load.at (id).hold_us, 0, 0, 0, 0, 0, {}, 0 };
 
         eel_place_answered (eel_directory_find (&directory, id), &report,
                             load.now_us);
--- a/tests/unit/test_place_overload.cc
+++ b/tests/unit/test_place_overload.cc
@@ -122,6 +122,8 @@
                   0,
                   0,
                   0,
+                  0,
+                  {},
                   0 };
 
           eel_place_answered (eel_directory_find (&directories[sender],
@@ -228,7 +230,7 @@
 
     eel_place_done (instance, 1);
     const struct eel_instance_report report
-        = { next.use_milli, 0, 0, 0, 0, 0, 0, 0 };
+        = { next.use_milli, 0, 0, 0, 0, 0, 0, 0, {}, 0 };
 
     eel_place_answered (instance, &report, next.at_us);
     if (next.what == REFUSED)
--- a/tests/unit/test_relay_answers.cc
+++ b/tests/unit/test_relay_answers.cc
@@ -51,6 +51,8 @@
     }
 }
 
+#define WAITS "100 0 0 7 0 0 0 0 1000 5\r\nEel-Load: rank_waits_ms"
+
 // Guards against loads that no node can have, from which sums would overflow.
 TEST (RelayAnswers, MalformedLoadOfAPeerIsIgnored)
 {
@@ -76,7 +78,16 @@
                             "100 0 0 7 0 0 0 0 1000 5x",
                             "100 0 0 7 0 0 0 0 100001 5",
                             "100 0 0 7 0 0 0 0 1000 -1",
-                            "100 0 0 7 0 0 0 0 1000 9223372036854775807" })
+                            "100 0 0 7 0 0 0 0 1000 9223372036854775807",
+                            WAITS " x",
+                            WAITS " 1",
+                            WAITS " 1:",
+                            WAITS " -1:5",
+                            WAITS " 256:5",
+                            WAITS " 1:5x",
+                            WAITS " 1:5 1:6",
+                            WAITS " 2:5 1:6",
+                            WAITS " 1:3600001" })
     {
       relay_cluster cluster (1);
       raw_upstream peer;
@@ -154,6 +165,57 @@
     }
 }
 
+// A peer reports what requests of each rank wait, on a further line; what later
+// versions may add there is ignored.  Callers get neither line.
+TEST (RelayAnswers, WaitsOfRanksOfAPeerAreRecorded)
+{
+  const struct
+  {
+    const char *load;
+    int64_t wait_ms[3];
+  } cases[]
+      = { { "100 0 0 7 0 0 0 0 1000 5", { -1, -1, -1 } },
+          { "100 0 0 7 0 0 0 0 1000 5\r\nEel-Load: later 7", { -1, -1, -1 } },
+          { WAITS " 0:3 2:400", { 3, 400, 400 } },
+          { "100 0 0 7 0 0 0 0 1000 5 9\r\nEel-Load: later 7\r\n"
+            "Eel-Load: rank_waits_ms 0:3 1:70 4:400 5:500 6:600",
+            { 3, 70, 400 } } };
+
+  for (const auto &each : cases)
+    {
+      relay_cluster cluster (1);
+      raw_upstream peer;
+      struct eel_relay *relay = &cluster.nodes[0]->relay;
+      struct eel_instance instance = entry_of_peer (relay);
+      auto caller = cluster.connect ();
+
+      peer.open (cluster.base, "127.0.0.2",
+                 ntohs (relay->config.peers.sin_port));
+      peer.answer = [&each] (raw_upstream &, raw_conn &conn,
+                             const std::string &request) {
+        raw_upstream::write (conn, answer_text (request, "right", "200 OK",
+                                                std::string ("Eel-Load: ")
+                                                    + each.load + "\r\n"));
+      };
+      cluster.set_routes ();
+      eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+      raw_upstream::write (*caller, request_text ("GET", "/safe/a", "r1"));
+      ASSERT_TRUE (cluster.run_until ([&] { return !peer.conns.empty (); }));
+      raw_upstream::write (*peer.conns[0], "HTTP/1.1 100 Continue\r\n\r\n");
+      ASSERT_TRUE (cluster.run_until ([&] {
+        return caller->in.find ("right") != std::string::npos;
+      })) << each.load;
+      EXPECT_EQ (caller->in.find ("Eel-Load"), std::string::npos);
+      for (uint8_t rank = 0; rank < 3; rank++)
+        EXPECT_EQ (
+            eel_place_rank_wait_us (
+                &eel_directory_find (&relay->directory, "up-2")->report, rank),
+            each.wait_ms[rank] < 0 ? -1 : each.wait_ms[rank] * EEL_US_PER_MS)
+            << each.load << (int)rank;
+      bufferevent_free (caller->bev);
+    }
+}
+
 // The same between nodes: a peer sends an answer of another request before the
 // one that is waited for.
 TEST (RelayAnswers, AnswerOfAnotherRequestFromAPeerIsDiscarded)
