Refuse requests repeated long before their Retry-After

A caller that repeats at once draws several times among the gates of 60 endpoints while one that waits as told draws twice, later and with less time left. The entry keeps a bounded table of requests that were refused; one that is back within half of what it was told, 300 ms at most, is refused there. Nothing of it has to outlive the node.

The entry also counts what it refuses of a team and tells when no gate has spoken of a team any more. The world of the tests is split into header and source; it can cut a node off and let a team move between nodes.

--- a/include/eelgrasslatch/crowding.h
+++ b/include/eelgrasslatch/crowding.h
@@ -29,6 +29,10 @@
   /* Share of the team's requests to refuse, 0 to 1. */
   double refused_share;
   int64_t told_us;
+  /* First news, the last excess that was told, and requests refused since. */
+  int64_t since_us;
+  struct eel_fair_excess excess;
+  uint64_t refused;
 };
 
 struct eel_crowding
@@ -53,4 +57,15 @@
                                    uint8_t rank,
                                    int64_t now_us);
 
+/* Counts a request that was refused because of its team. */
+void eel_crowding_count_refused (struct eel_crowding *crowding,
+                                 uint32_t service,
+                                 uint64_t team,
+                                 uint8_t rank);
+/* Forgets a team that no gate has told of for so long and copies what was known
+   of it; returns 0 when there is none. */
+int eel_crowding_next_ended (struct eel_crowding *crowding,
+                             struct eel_crowding_team *ended,
+                             int64_t now_us);
+
 #endif
--- a/src/admission/crowding.c
+++ b/src/admission/crowding.c
@@ -109,9 +109,15 @@
   double share = present_share (entry, now_us);
   int is_new = is_expired (entry, now_us);
 
+  if (is_new)
+    {
+      entry->since_us = now_us;
+      entry->refused = 0;
+    }
   share += weight * (1 - share) * above;
   entry->refused_share = fmin (share, REFUSED_SHARE_MAX);
   entry->told_us = now_us;
+  entry->excess = *excess;
   return is_new;
 }
 
@@ -128,3 +134,30 @@
              ? 0
              : present_share (&crowding->teams[index], now_us);
 }
+
+void
+eel_crowding_count_refused (struct eel_crowding *crowding,
+                            uint32_t service,
+                            uint64_t team,
+                            uint8_t rank)
+{
+  uint32_t index = find (crowding, service, team, rank);
+
+  if (index < crowding->count)
+    crowding->teams[index].refused++;
+}
+
+int
+eel_crowding_next_ended (struct eel_crowding *crowding,
+                         struct eel_crowding_team *ended,
+                         int64_t now_us)
+{
+  for (uint32_t i = 0; i < crowding->count; i++)
+    if (is_expired (&crowding->teams[i], now_us))
+      {
+        *ended = crowding->teams[i];
+        crowding->teams[i] = crowding->teams[--crowding->count];
+        return 1;
+      }
+  return 0;
+}
--- a/tests/unit/fair_world.h
+++ b/tests/unit/fair_world.h
@@ -14,6 +14,7 @@
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/gate.h"
 #include "eelgrasslatch/place.h"
+#include "eelgrasslatch/repeats.h"
 #include "eelgrasslatch/retry_after.h"
 }
 
@@ -26,6 +27,10 @@
 constexpr int64_t PATH_US = 500;
 constexpr int64_t MS = EEL_US_PER_MS;
 
+// A team that enters at all nodes, or at one, the next each second.
+constexpr int ALL_NODES = -1;
+constexpr int MOVES = -2;
+
 struct kind
 {
   double work_us;
@@ -42,7 +47,7 @@
   double weight;
   // Factor of the rate as a function of the time in seconds.
   std::function<double (double)> factor;
-  // The node at which all enter; -1: all nodes.
+  // The node at which all enter, or one of these.
   int node;
   // Share of the requests whose callers come back at once.
   double abuse;
@@ -93,6 +98,7 @@
   std::vector<struct eel_gate> gates;
   std::vector<struct eel_entry_gate> entry_gates;
   std::vector<struct eel_crowding> crowdings;
+  std::vector<struct eel_repeats> repeats;
   std::vector<std::vector<struct eel_instance>> storage;
   std::vector<struct eel_directory> directories;
   std::vector<call> calls;
@@ -108,333 +114,40 @@
   int64_t late_us = 0;
   // A node that gets no reports.
   int deaf = -1;
+  // A node that can't reach the others, nor they it, during these seconds.
+  int cut = -1;
+  int64_t cut_from_us = 0;
+  int64_t cut_until_us = 0;
   // Longest time after its arrival at which a gate has refused a request.
   std::vector<int64_t> held_us;
   uint32_t refused_at_entry = 0;
 
-  world (uint32_t nodes_, uint32_t slots, bool fair_, uint64_t seed)
-      : nodes (nodes_), fair (fair_), gates (nodes_), entry_gates (nodes_),
-        crowdings (nodes_), storage (nodes_), directories (nodes_)
-  {
-    eel_rng_init (&rng, seed);
-    for (uint32_t n = 0; n < nodes; n++)
-      {
-        eel_gate_init (&gates[n], slots);
-        gates[n].last_rank = 2;
-        eel_entry_gate_init (&entry_gates[n]);
-        entry_gates[n].last_rank = 2;
-        eel_crowding_init (&crowdings[n]);
-        storage[n].resize (nodes);
-        eel_directory_init (&directories[n], storage[n].data (), nodes);
-        for (uint32_t i = 0; i < nodes; i++)
-          {
-            struct eel_instance instance = {};
-
-            snprintf (instance.id, sizeof instance.id, "%u", i);
-            instance.revision = 1;
-            instance.slots = slots;
-            instance.same_domain = n % 3 == i % 3;
-            eel_directory_put (&directories[n], &instance, 0);
-          }
-      }
-  }
-
-  void
-  at (int64_t at_us, std::function<void (int64_t)> run)
-  {
-    events.push ({ at_us, std::move (run), order++ });
-  }
-
-  const kind &
-  kind_of (const call &each) const
-  {
-    return kinds[teams[each.team].what];
-  }
-
-  uint64_t
-  team_id (const call &each) const
-  {
-    return fair && !teams[each.team].nameless ? each.team + 1 : 0;
-  }
-
-  void
-  come_back (size_t index, double refused_share, int64_t now_us)
-  {
-    call &each = calls[index];
-    int64_t left_us = each.first_us + kind_of (each).deadline_us - now_us;
-    int64_t after_us = eel_retry_after_us (kind_of (each).target_us, left_us,
-                                           refused_share, &rng);
-
-    if (teams[each.team].nameless)
-      return;
-    if (each.abuses)
-      after_us = 10 * MS;
-    if (each.returns++ < (each.abuses ? 3 : 1) && after_us < left_us)
-      at (now_us + after_us, [this, index] (int64_t us) { enter (index, us); });
-  }
-
-  void
-  enter (size_t index, int64_t now_us)
-  {
-    call &each = calls[index];
-    struct eel_entry_gate *gate = &entry_gates[each.node];
-    uint64_t route = teams[each.team].what + 1;
-    double share = eel_crowding_refused_share (
-        &crowdings[each.node], 0, team_id (each), kind_of (each).rank, now_us);
-
-    struct eel_rng draw = rng;
-
-    // The same request gets the same answers for a while.
-    if (fair)
-      eel_rng_init (&draw, index * 1000003 + (uint64_t)(now_us / (300 * MS)));
-    else
-      eel_rng_next (&rng);
-    each.tried_count = 0;
-    if (share > 0 && eel_rng_unit (&draw) < share)
-      {
-        refused_at_entry++;
-        come_back (index, share, now_us);
-      }
-    else if (!eel_entry_gate_admit (gate, route, kind_of (each).rank, now_us,
-                                    &draw))
-      come_back (index, eel_entry_gate_refused_share (gate, route), now_us);
-    else
-      send (index, now_us);
-  }
-
-  void
-  send (size_t index, int64_t now_us)
-  {
-    call &each = calls[index];
-    const struct eel_place_query query
-        = { 0, each.tried, each.tried_count, 0, 0 };
-    struct eel_instance *picked
-        = each.tried_count == 3
-              ? nullptr
-              : eel_place_pick (&directories[each.node], &query, now_us, &rng);
-
-    if (picked == nullptr)
-      {
-        come_back (index,
-                   eel_entry_gate_refused_share (&entry_gates[each.node],
-                                                 teams[each.team].what + 1),
-                   now_us);
-        return;
-      }
-    each.tried[each.tried_count++] = picked->id;
-    each.at = (uint32_t)atoi (picked->id);
-    eel_place_sent (picked);
-    eel_place_accepted (picked);
-    at (now_us + PATH_US, [this, index] (int64_t us) { reach (index, us); });
-  }
-
-  void
-  start (size_t index, int64_t now_us)
-  {
-    double work_us = kind_of (calls[index]).work_us
-                     * (0.5 + eel_rng_unit (&rng))
-                     / speed ((double)now_us / 1e6);
-
-    at (now_us + (int64_t)work_us,
-        [this, index, now_us] (int64_t us) { end (index, us - now_us, us); });
-  }
-
-  void
-  reach (size_t index, int64_t now_us)
-  {
-    call &each = calls[index];
-    const kind &what = kind_of (each);
-    const struct eel_gate_item item
-        = { what.rank, now_us, each.first_us + what.target_us,
-            each.first_us + what.deadline_us,
-            reinterpret_cast<void *> (index) };
-    const struct eel_gate_share share
-        = { team_id (each),
-            (uint32_t)(1000 * teams[each.team].weight),
-            what.work_us,
-            0,
-            0,
-            0,
-            0 };
-    struct eel_gate *gate = &gates[each.at];
-
-    each.offered_us = now_us;
-    switch (eel_gate_offer_share (gate, &item, &share, now_us))
-      {
-      case EEL_GATE_START:
-        start (index, now_us);
-        break;
-      case EEL_GATE_REFUSE:
-        answer (index, true, now_us);
-        break;
-      case EEL_GATE_QUEUE:
-        if (gate->displaced > 0)
-          dispatch (each.at, now_us);
-        break;
-      }
-  }
-
-  void
-  dispatch (uint32_t node, int64_t now_us)
-  {
-    struct eel_gate_item item;
-
-    for (;;)
-      {
-        enum eel_gate_verdict verdict
-            = eel_gate_next (&gates[node], &item, now_us);
-        size_t index = reinterpret_cast<size_t> (item.owner);
-
-        if (verdict == EEL_GATE_QUEUE)
-          return;
-        if (verdict == EEL_GATE_START)
-          start (index, now_us);
-        else
-          {
-            held_us.push_back (now_us - calls[index].offered_us);
-            answer (index, true, now_us);
-          }
-      }
-  }
-
-  void
-  end (size_t index, int64_t held, int64_t now_us)
-  {
-    call &each = calls[index];
-    outcome &sum = outcomes[each.team];
-    outcome &group = each.abuses ? abusing : obeying;
-    bool in_time = now_us - each.first_us <= kind_of (each).target_us;
-
-    eel_gate_done (&gates[each.at], held, now_us);
-    if (team_id (each) != 0)
-      eel_gate_done_share (&gates[each.at], team_id (each), kind_of (each).rank,
-                           held);
-    if (now_us <= until_us)
-      sum.slot_us += (double)held;
-    if (now_us <= until_us
-        && now_us - each.first_us <= kind_of (each).deadline_us)
-      {
-        sum.served++;
-        sum.in_time += in_time;
-        group.served++;
-        group.in_time += in_time;
-      }
-    answer (index, false, now_us);
-    dispatch (each.at, now_us);
-  }
-
+  world (uint32_t nodes_, uint32_t slots, bool fair_, uint64_t seed);
+  void at (int64_t at_us, std::function<void (int64_t)> run);
+  const kind &kind_of (const call &each) const;
+  uint64_t team_id (const call &each) const;
+  void come_back (size_t index, double refused_share, int64_t now_us);
+  void enter (size_t index, int64_t now_us);
+  uint32_t node_of (const team &from, double seconds);
+  bool is_cut (uint32_t from, uint32_t to, int64_t now_us) const;
+  // Picks an endpoint, of up to three, that can be reached.
+  struct eel_instance *pick (call &each, int64_t now_us);
+  void send (size_t index, int64_t now_us);
+  void start (size_t index, int64_t now_us);
+  void reach (size_t index, int64_t now_us);
+  void dispatch (uint32_t node, int64_t now_us);
+  void end (size_t index, int64_t held, int64_t now_us);
   // Sends the answer with the load of the gate, and what it tells of teams.
-  void
-  answer (size_t index, bool refused, int64_t now_us)
-  {
-    call &each = calls[index];
-    struct eel_gate *gate = &gates[each.at];
-    const struct eel_instance_report report
-        = { eel_gate_use_milli (gate, now_us), 0, 0, 0, 0, 0, 0, 0 };
-    int64_t wait_us = eel_gate_wait_us (gate, now_us);
-    std::vector<struct eel_fair_excess> told (EEL_CROWDING_TOLD_MAX);
-    bool hears = each.node != (uint32_t)deaf && eel_rng_unit (&rng) >= lost;
-
-    told.resize (eel_fair_order_excess (&gate->fair, told.data (),
-                                        EEL_CROWDING_TOLD_MAX, now_us));
-    at (now_us + PATH_US, [=] (int64_t us) {
-      struct eel_instance *instance
-          = eel_directory_find (&directories[calls[index].node],
-                                std::to_string (calls[index].at).c_str ());
-
-      eel_place_done (instance, 1);
-      if (refused)
-        send (index, us);
-      else
-        eel_entry_gate_report_outcome (
-            &entry_gates[calls[index].node], teams[calls[index].team].what + 1,
-            us - calls[index].first_us > kind_of (calls[index]).target_us, us);
-    });
-    if (hears)
-      at (now_us + PATH_US + late_us,
-          [=] (int64_t us) { hear (index, report, wait_us, told, us); });
-  }
-
-  void
-  hear (size_t index,
-        const struct eel_instance_report &report,
-        int64_t wait_us,
-        const std::vector<struct eel_fair_excess> &told,
-        int64_t now_us)
-  {
-    const call &each = calls[index];
-
-    eel_place_answered (eel_directory_find (&directories[each.node],
-                                            std::to_string (each.at).c_str ()),
-                        &report, now_us);
-    eel_entry_gate_report_pressure (
-        &entry_gates[each.node], teams[each.team].what + 1,
-        1000.0 * (double)wait_us / (double)kind_of (each).target_us, now_us);
-    for (const auto &excess : told)
-      eel_crowding_told (&crowdings[each.node], 0, &excess, now_us);
-  }
-
-  void
-  run (double seconds)
-  {
-    outcomes.assign (teams.size (), {});
-    until_us = (int64_t)(seconds * 1e6);
-    for (size_t t = 0; t < teams.size (); t++)
-      for (double when = 0; when < seconds;)
-        {
-          const team &from = teams[t];
-          double factor = from.factor ? from.factor (when) : 1;
-
-          when -= log (1 - eel_rng_unit (&rng)) / (from.per_s * factor);
-          uint32_t node = from.node >= 0 ? (uint32_t)from.node
-                                         : eel_rng_below (&rng, nodes);
-          bool abuses = eel_rng_unit (&rng) < from.abuse;
-          size_t index = calls.size ();
-
-          calls.push_back (
-              { t, node, abuses, (int64_t)(when * 1e6), 0, {}, 0, 0, 0 });
-          outcomes[t].asked++;
-          (abuses ? abusing : obeying).asked++;
-          at ((int64_t)(when * 1e6),
-              [this, index] (int64_t us) { enter (index, us); });
-        }
-    while (!events.empty ())
-      {
-        event next = events.top ();
-
-        events.pop ();
-        next.run (next.at_us);
-      }
-  }
-
+  void answer (size_t index, bool refused, int64_t now_us);
+  void hear (size_t index,
+             const struct eel_instance_report &report,
+             int64_t wait_us,
+             const std::vector<struct eel_fair_excess> &told,
+             int64_t now_us);
+  void run (double seconds);
   // Share of what the teams asked that was served.
-  double
-  served_share (size_t first, size_t last) const
-  {
-    double asked = 0;
-    double served = 0;
-
-    for (size_t t = first; t <= last; t++)
-      {
-        asked += outcomes[t].asked;
-        served += outcomes[t].served;
-      }
-    return served / asked;
-  }
-
-  double
-  in_time_share (size_t first, size_t last) const
-  {
-    double asked = 0;
-    double in_time = 0;
-
-    for (size_t t = first; t <= last; t++)
-      {
-        asked += outcomes[t].asked;
-        in_time += outcomes[t].in_time;
-      }
-    return in_time / asked;
-  }
+  double served_share (size_t first, size_t last) const;
+  double in_time_share (size_t first, size_t last) const;
 };
 }
 
--- a/tests/unit/test_crowding.cc
+++ b/tests/unit/test_crowding.cc
@@ -1,8 +1,10 @@
 #include <gtest/gtest.h>
+#include <memory>
 
 extern "C"
 {
 #include "eelgrasslatch/crowding.h"
+#include "eelgrasslatch/repeats.h"
 #include "eelgrasslatch/retry_after.h"
 }
 
@@ -104,3 +106,45 @@
         ASSERT_LE (after_us, each.most_ms * MS) << each.refused_share;
       }
 }
+
+// Guards against teams that are never reported as within their share again, and
+// against one that is reported while gates tell of it.
+TEST_F (crowding, EndsWithoutNews)
+{
+  struct eel_crowding_team ended;
+
+  told (1, 900, 0);
+  told (2, 900, 100 * MS);
+  told (1, 700, 500 * MS);
+  eel_crowding_count_refused (&state, 5, 1, 2);
+  eel_crowding_count_refused (&state, 5, 1, 1);
+  EXPECT_EQ (eel_crowding_next_ended (&state, &ended, 1000 * MS), 0);
+  ASSERT_EQ (eel_crowding_next_ended (&state, &ended, 1200 * MS), 1);
+  EXPECT_EQ (ended.team, 2u);
+  EXPECT_EQ (eel_crowding_next_ended (&state, &ended, 1200 * MS), 0);
+  ASSERT_EQ (eel_crowding_next_ended (&state, &ended, 1500 * MS), 1);
+  EXPECT_EQ (ended.team, 1u);
+  EXPECT_EQ (ended.refused, 1u);
+  EXPECT_EQ (ended.excess.excess_milli, 700u);
+  EXPECT_EQ (ended.told_us - ended.since_us, 500 * MS);
+  EXPECT_EQ (state.count, 0u);
+}
+
+// Guards against a caller that gains by repeating at once, one that is held off
+// although it came back as told, and one that its own repeats hold off.
+TEST (repeats, EarlyUntilHalfOfWhatTheyWereTold)
+{
+  auto state = std::make_unique<struct eel_repeats> ();
+
+  eel_repeats_init (state.get ());
+  EXPECT_FALSE (eel_repeats_is_early (state.get (), 7, 0));
+  eel_repeats_refused (state.get (), 7, 400 * MS, 1000 * MS);
+  EXPECT_TRUE (eel_repeats_is_early (state.get (), 7, 1199 * MS));
+  EXPECT_FALSE (eel_repeats_is_early (state.get (), 8, 1199 * MS));
+  EXPECT_FALSE (eel_repeats_is_early (state.get (), 7 + EEL_REPEATS_MAX, 0));
+  eel_repeats_refused (state.get (), 7, 400 * MS, 1199 * MS);
+  EXPECT_FALSE (eel_repeats_is_early (state.get (), 7, 1200 * MS));
+  eel_repeats_refused (state.get (), 7, 9000 * MS, 2000 * MS);
+  EXPECT_TRUE (eel_repeats_is_early (state.get (), 7, 2299 * MS));
+  EXPECT_FALSE (eel_repeats_is_early (state.get (), 7, 2300 * MS));
+}
