Count and log what teams are refused, and why

A team that complained could not be told its own excess from somebody else's: there was a line when it went above its share, none when that ended, and no count of its own. eel_team_requests_total has the kinds above_share, early and no_slot now, of the 64 largest teams and the others together, and event=team_within_share says for how long the team was held to its share at a service, how many requests were refused, and what it asked for and got there.

--- a/include/eelgrasslatch/team_use.h
+++ b/include/eelgrasslatch/team_use.h
@@ -18,6 +18,12 @@
   EEL_TEAM_USE_ADMITTED,
   /* Refused above the team's cap. */
   EEL_TEAM_USE_OVER_CAP,
+  /* Refused at the entry: the team is above its share of a service. */
+  EEL_TEAM_USE_ABOVE_SHARE,
+  /* Refused at the entry: repeated long before its Retry-After. */
+  EEL_TEAM_USE_EARLY,
+  /* Refused for want of slots, whatever the team's share. */
+  EEL_TEAM_USE_NO_SLOT,
   EEL_TEAM_USE_KIND_COUNT
 };
 
@@ -26,8 +32,8 @@
   /* EEL_NO_TEAM: unused. */
   uint64_t id;
   char name[EEL_TEAM_NAME_MAX];
-  /* Upper bound of the team's requests: those of the rows that it has replaced
-     are included. */
+  /* Upper bound of what was counted of the team: that of the rows that it has
+     replaced is included. */
   uint64_t use;
   /* Since the team has this row. */
   uint64_t counts[EEL_TEAM_USE_KIND_COUNT];
@@ -40,7 +46,8 @@
 };
 
 void eel_team_use_init (struct eel_team_use *use);
-/* Counts a request of a team; one with EEL_NO_TEAM is not counted. */
+/* Counts a request of a team; one with EEL_NO_TEAM is not counted.  One that
+   was admitted may be counted once more, when it got no slot. */
 void eel_team_use_count (struct eel_team_use *use,
                          uint64_t id,
                          const char *name,
--- a/src/admission/team_use.c
+++ b/src/admission/team_use.c
@@ -5,9 +5,12 @@
 /* Space-saving counters: a team without a row takes that of the least use, and
    its use, so that a team with a large share of all requests has a row. */
 
-static const char *const kind_names[EEL_TEAM_USE_KIND_COUNT] = {
-  [EEL_TEAM_USE_ADMITTED] = "admitted", [EEL_TEAM_USE_OVER_CAP] = "over_cap"
-};
+static const char *const kind_names[EEL_TEAM_USE_KIND_COUNT]
+    = { [EEL_TEAM_USE_ADMITTED] = "admitted",
+        [EEL_TEAM_USE_OVER_CAP] = "over_cap",
+        [EEL_TEAM_USE_ABOVE_SHARE] = "above_share",
+        [EEL_TEAM_USE_EARLY] = "early",
+        [EEL_TEAM_USE_NO_SLOT] = "no_slot" };
 
 void
 eel_team_use_init (struct eel_team_use *use)
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -31,7 +31,9 @@
   uint8_t arrivals;
   /* The node beside an endpoint had no slot for it in time. */
   uint8_t was_refused;
-  /* Such nodes in the own failure domain. */
+  /* Refused for what its team or caller does, not for want of slots alone. */
+  uint8_t is_excess;
+  /* Nodes without a slot in the own failure domain. */
   uint8_t refusals_at_home;
   /* An endpoint may have run it: no answer may state that none has. */
   uint8_t may_have_run;
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -114,6 +114,8 @@
       eel_entry_gate_refused_share (&relay->entry_gate, entry->call.route),
       entry->call.team != NULL ? entry->call.team : "-",
       eel_sharing_refused_share (relay, &entry->call));
+  if (reported == EEL_ERROR_OVERLOADED)
+    eel_sharing_refused (entry, after_us);
   if (reported == EEL_ERROR_LEAVING)
     after_us = EEL_ENTRY_LEAVING_RETRY_US;
   if (reported == EEL_ERROR_TEAM_CAP)
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -1,4 +1,10 @@
+#include "relay/attempt.h"
+#include "relay/caps.h"
+#include "relay/crash_news.h"
+#include "relay/crash_trial.h"
+#include "relay/entry.h"
 #include "relay/relay.h"
+#include "relay/sharing.h"
 
 #include <event2/event.h>
 #include <inttypes.h>
@@ -6,11 +12,6 @@
 #include <string.h>
 
 #include "internal/task.h"
-#include "relay/attempt.h"
-#include "relay/caps.h"
-#include "relay/crash_news.h"
-#include "relay/crash_trial.h"
-#include "relay/entry.h"
 
 #define INSTANCES_MAX 4096
 /* Slots of this node's endpoint until the directory lists it. */
@@ -97,6 +98,7 @@
   eel_domain_traffic_tick (&relay->domain_traffic, now_us);
   eel_relay_log_flow (relay, now_us);
   eel_caps_report (relay->caps, now_us);
+  eel_sharing_report_ended (relay, now_us);
   eel_relay_log_load (relay, now_us);
 }
 
@@ -186,7 +188,7 @@
   eel_gate_init (&relay->gate, INITIAL_SLOTS);
   eel_team_use_init (&relay->team_use);
   eel_entry_gate_init (&relay->entry_gate);
-  eel_crowding_init (&relay->crowding);
+  eel_sharing_init (relay);
   eel_call_costs_init (&relay->call_costs);
   eel_fault_rate_init (&relay->fault_rate);
   eel_run_times_init (&relay->run_times);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -16,6 +16,7 @@
 #include "eelgrasslatch/route_table.h"
 #include "eelgrasslatch/run_times.h"
 #include "eelgrasslatch/team_table.h"
+#include "eelgrasslatch/repeats.h"
 #include "eelgrasslatch/team_use.h"
 #include "eelgrasslatch/team_cap.h"
 #include "internal/metrics.h"
@@ -154,6 +155,8 @@
   const struct eel_team_table *teams;
   uint64_t version;
   double mean_rate;
+  /* Requests refused here a moment ago. */
+  struct eel_repeats repeats;
   /* Lines on teams above their share in this interval. */
   int64_t lines_since_us;
   uint32_t lines;
--- a/src/relay/sharing.c
+++ b/src/relay/sharing.c
@@ -17,6 +17,13 @@
 #define LINES_MAX 4
 #define LINES_INTERVAL_US (1 * EEL_US_PER_S)
 
+void
+eel_sharing_init (struct eel_relay *relay)
+{
+  eel_crowding_init (&relay->crowding);
+  eel_repeats_init (&relay->sharing.repeats);
+}
+
 /* Mean cap of the teams that have one; 0: none has. */
 static double
 mean_rate (struct eel_relay *relay)
@@ -84,30 +91,58 @@
                          told[i].got_milli);
 }
 
-/* Logs that a team is refused here from now on. */
-static void
-log_above_share (struct eel_relay *relay,
-                 uint32_t service,
-                 const struct eel_fair_excess *excess,
-                 int64_t now_us)
+static const char *
+team_name (const struct eel_relay *relay, uint64_t team_id)
 {
-  struct eel_sharing *sharing = &relay->sharing;
   const struct eel_team *team
-      = relay->teams != NULL ? eel_team_table_find (relay->teams, excess->team)
+      = relay->teams != NULL ? eel_team_table_find (relay->teams, team_id)
                              : NULL;
 
+  return team != NULL ? team->name : "-";
+}
+
+static int
+may_log (struct eel_sharing *sharing, int64_t now_us)
+{
   if (now_us - sharing->lines_since_us > LINES_INTERVAL_US)
     {
       sharing->lines_since_us = now_us;
       sharing->lines = 0;
     }
-  if (sharing->lines++ >= LINES_MAX)
-    return;
-  g_message ("event=team_above_share team=%s id=%016" PRIx64
-             " service=%s rank=%u excess_milli=%u asked_milli=%u got_milli=%u",
-             team != NULL ? team->name : "-", excess->team,
-             eel_service_name (&relay->names, service), excess->rank,
-             excess->excess_milli, excess->asked_milli, excess->got_milli);
+  return sharing->lines++ < LINES_MAX;
+}
+
+/* Logs that a team is refused here from now on. */
+static void
+log_above_share (struct eel_relay *relay,
+                 uint32_t service,
+                 const struct eel_fair_excess *excess,
+                 int64_t now_us)
+{
+  if (may_log (&relay->sharing, now_us))
+    g_message ("event=team_above_share team=%s id=%016" PRIx64
+               " service=%s rank=%u excess_milli=%u asked_milli=%u "
+               "got_milli=%u",
+               team_name (relay, excess->team), excess->team,
+               eel_service_name (&relay->names, service), excess->rank,
+               excess->excess_milli, excess->asked_milli, excess->got_milli);
+}
+
+void
+eel_sharing_report_ended (struct eel_relay *relay, int64_t now_us)
+{
+  struct eel_crowding_team ended;
+
+  while (eel_crowding_next_ended (&relay->crowding, &ended, now_us))
+    if (may_log (&relay->sharing, now_us))
+      g_message ("event=team_within_share team=%s id=%016" PRIx64
+                 " service=%s rank=%u for_ms=%" PRId64 " refused=%" PRIu64
+                 " excess_milli=%u asked_milli=%u got_milli=%u",
+                 team_name (relay, ended.team), ended.team,
+                 eel_service_name (&relay->names, ended.service), ended.rank,
+                 (ended.told_us - ended.since_us) / EEL_US_PER_MS,
+                 ended.refused, ended.excess.excess_milli,
+                 ended.excess.asked_milli, ended.excess.got_milli);
 }
 
 static void
@@ -183,15 +218,23 @@
                                            eel_clock_us ());
 }
 
-/* Repeats of a request on the same connection get the same draw for a while, so
-   that a caller gains nothing by coming back at once. */
+/* The same for all repeats of a request on one connection. */
+static uint64_t
+repeat_key (const struct eel_entry *entry)
+{
+  const char *target = eel_head_target (&entry->exchange->request);
+
+  return eel_hash64 (target, strlen (target),
+                     entry->call.team_id
+                         + (uint64_t)(uintptr_t)entry->exchange->conn);
+}
+
+/* Repeats of a request get the same draw for a while, so that a caller gains
+   nothing by coming back at once. */
 static struct eel_rng
 draw_for (const struct eel_entry *entry)
 {
-  const char *target = eel_head_target (&entry->exchange->request);
-  uint64_t seed = eel_hash64 (target, strlen (target),
-                              entry->call.team_id
-                                  + (uint64_t)(uintptr_t)entry->exchange->conn);
+  uint64_t seed = repeat_key (entry);
   int64_t phase_us = (int64_t)(seed % (uint64_t)SAME_DRAW_US);
   struct eel_rng draw;
 
@@ -200,6 +243,25 @@
   return draw;
 }
 
+static void
+count (struct eel_entry *entry, enum eel_team_use_kind kind)
+{
+  eel_team_use_count (&entry->relay->team_use, entry->call.team_id, entry->team,
+                      kind);
+}
+
+void
+eel_sharing_refused (struct eel_entry *entry, int64_t after_us)
+{
+  struct eel_relay *relay = entry->relay;
+
+  if (!entry->is_excess)
+    count (entry, EEL_TEAM_USE_NO_SLOT);
+  if (entry->call.team_id != EEL_NO_TEAM && relay->config.fair_teams)
+    eel_repeats_refused (&relay->sharing.repeats, repeat_key (entry), after_us,
+                         eel_clock_us ());
+}
+
 int
 eel_sharing_refuses (struct eel_entry *entry)
 {
@@ -211,11 +273,22 @@
   if (call->team_id == EEL_NO_TEAM || !relay->config.fair_teams)
     return !eel_entry_gate_admit (&relay->entry_gate, call->route, call->rank,
                                   eel_clock_us (), &relay->rng);
+  if (eel_repeats_is_early (&relay->sharing.repeats, repeat_key (entry),
+                            entry->arrived_us))
+    {
+      entry->is_excess = 1;
+      count (entry, EEL_TEAM_USE_EARLY);
+      return 1;
+    }
   draw = draw_for (entry);
   share = eel_sharing_refused_share (relay, call);
   if (share > 0 && eel_rng_unit (&draw) < share)
     {
+      entry->is_excess = 1;
       eel_metric_add (relay->counters.above_share, 1);
+      eel_crowding_count_refused (&relay->crowding, call->service,
+                                  call->team_id, call->rank);
+      count (entry, EEL_TEAM_USE_ABOVE_SHARE);
       return 1;
     }
   return !eel_entry_gate_admit (&relay->entry_gate, call->route, call->rank,
--- a/src/relay/sharing.h
+++ b/src/relay/sharing.h
@@ -9,6 +9,9 @@
  * the entry refuses because of it.
  */
 
+void eel_sharing_init (struct eel_relay *relay);
+/* Logs which teams are no longer above their share. */
+void eel_sharing_report_ended (struct eel_relay *relay, int64_t now_us);
 /* Share that a request counts on at this node's gate. */
 struct eel_gate_share eel_sharing_of (struct eel_relay *relay,
                                       const struct eel_relay_call *call);
@@ -23,8 +26,12 @@
 /* Part of the team's requests that is refused at the entry, 0 to 1. */
 double eel_sharing_refused_share (const struct eel_relay *relay,
                                   const struct eel_relay_call *call);
-/* True when a request that has just arrived has to be refused, because its team
-   is above its share or the entry gate says so. */
+/* Records that the request is refused for want of slots and told to come back
+   in after_us. */
+void eel_sharing_refused (struct eel_entry *entry, int64_t after_us);
+/* True when a request that has just arrived has to be refused, because it was
+   refused a moment ago, its team is above its share or the entry gate says
+   so. */
 int eel_sharing_refuses (struct eel_entry *entry);
 
 #endif
--- a/tests/unit/test_relay_sharing.cc
+++ b/tests/unit/test_relay_sharing.cc
@@ -178,6 +178,7 @@
   EXPECT_GE (refused, 30u);
   EXPECT_EQ (arrivals (), 1 + 40 - refused);
   EXPECT_EQ (entry->counters.above_share->value, (int64_t)refused);
+  EXPECT_EQ (entry->crowding.teams[0].refused, refused);
   EXPECT_EQ (
       status_of (cluster.send_request (
           request_text ("GET", "/safe/x", "r", "Authorization: Bearer b\r\n"),
@@ -248,3 +249,37 @@
           << each.name;
     }
 }
+
+// Guards against a caller that gets several draws by repeating at once, and
+// against refusals that can't be told apart afterwards.
+TEST_F (relay_sharing, RepeatsBeforeTheirRetryAfterAreRefused)
+{
+  struct eel_relay *entry = &cluster.nodes[0]->relay;
+  struct eel_gate *gate = &cluster.nodes[1]->relay.gate;
+  const std::string repeated
+      = request_text ("GET", "/safe/x", "r", "Authorization: Bearer a\r\n");
+  raw_conn *conn;
+
+  entry->caps->in_force = 0;
+  // No slot in time.
+  gate->limit = 1;
+  gate->running = 1;
+  gate->hold_us = 60e6;
+  conns.push_back (cluster.connect (0));
+  conn = conns.back ().get ();
+  for (int i = 0; i < 3; i++)
+    {
+      conn->in.clear ();
+      raw_upstream::write (*conn, repeated);
+      ASSERT_TRUE (cluster.run_until (
+          [&] { return conn->in.find ("\r\n\r\n") != std::string::npos; }));
+      EXPECT_EQ (status_of (conn->in), "503");
+      EXPECT_NE (field_of (conn->in, "Retry-After"), "");
+    }
+  const struct eel_team_use_row &row = entry->team_use.rows[0];
+
+  EXPECT_EQ (row.id, eel_team_id ("a"));
+  EXPECT_EQ (row.counts[EEL_TEAM_USE_ADMITTED], 1u);
+  EXPECT_EQ (row.counts[EEL_TEAM_USE_NO_SLOT], 1u);
+  EXPECT_EQ (row.counts[EEL_TEAM_USE_EARLY], 2u);
+}
