Bound the whole queue when requests wait by their shares

While the queue as a whole is too long, an item with a share is queued only if that gives it a slot in half of the time allowed.

--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -141,7 +141,12 @@
   return ahead;
 }
 
-/* Decides about an item that can't start at once; returns true to queue it. */
+/*
+ * Decides about an item that can't start at once; returns true to queue it.
+ * The waits by the shares are estimates; while all that is queued would wait
+ * too long, an item with a share is queued only if that gives it a slot in half
+ * of the time.
+ */
 static int
 may_queue (struct eel_gate *gate,
            const struct eel_gate_item *item,
@@ -149,13 +154,14 @@
            int64_t now_us)
 {
   int64_t allowed_us = allowed_wait_us (gate, item, share->is_guest, now_us);
+  int fits = eel_gate_expected_wait_us (gate, count_ahead (gate, item, now_us),
+                                        now_us)
+             <= allowed_us;
 
   if (share->entry == EEL_FAIR_NONE)
-    return gate->queued < EEL_GATE_QUEUE_MAX
-           && eel_gate_expected_wait_us (gate, count_ahead (gate, item, now_us),
-                                         now_us)
-                  <= allowed_us;
-  if (eel_gate_share_wait_us (gate, item, share, now_us) > allowed_us)
+    return gate->queued < EEL_GATE_QUEUE_MAX && fits;
+  if (eel_gate_share_wait_us (gate, item, share, now_us)
+      > (fits ? allowed_us : allowed_us / 2))
     return 0;
   return gate->queued < EEL_GATE_QUEUE_MAX
          || (gate->queued == EEL_GATE_QUEUE_MAX
