--- a/src/relay/sharing.c
+++ b/src/relay/sharing.c
@@ -112,6 +112,20 @@
   return sharing->lines++ < LINES_MAX;
 }
 
+/* Part of what the other teams of the rank ask for that they get, in
+   thousandths; -1: unknown. */
+static int32_t
+others_got_milli (const struct eel_fair_excess *excess)
+{
+  uint64_t parts
+      = (uint64_t)excess->asked_milli * (1000 - excess->excess_milli);
+
+  if (parts == 0)
+    return -1;
+  parts = (uint64_t)excess->got_milli * 1000000 / parts;
+  return parts < 1000 ? (int32_t)parts : 1000;
+}
+
 /* Logs that a team is refused here from now on. */
 static void
 log_above_share (struct eel_relay *relay,
@@ -122,10 +136,11 @@
   if (may_log (&relay->sharing, now_us))
     g_message ("event=team_above_share team=%s id=%016" PRIx64
                " service=%s rank=%u excess_milli=%u asked_milli=%u "
-               "got_milli=%u",
+               "got_milli=%u others_got_milli=%d",
                team_name (relay, excess->team), excess->team,
                eel_service_name (&relay->names, service), excess->rank,
-               excess->excess_milli, excess->asked_milli, excess->got_milli);
+               excess->excess_milli, excess->asked_milli, excess->got_milli,
+               others_got_milli (excess));
 }
 
 void
@@ -137,12 +152,14 @@
     if (may_log (&relay->sharing, now_us))
       g_message ("event=team_within_share team=%s id=%016" PRIx64
                  " service=%s rank=%u for_ms=%" PRId64 " refused=%" PRIu64
-                 " excess_milli=%u asked_milli=%u got_milli=%u",
+                 " excess_milli=%u asked_milli=%u got_milli=%u "
+                 "others_got_milli=%d",
                  team_name (relay, ended.team), ended.team,
                  eel_service_name (&relay->names, ended.service), ended.rank,
                  (ended.told_us - ended.since_us) / EEL_US_PER_MS,
                  ended.refused, ended.excess.excess_milli,
-                 ended.excess.asked_milli, ended.excess.got_milli);
+                 ended.excess.asked_milli, ended.excess.got_milli,
+                 others_got_milli (&ended.excess));
 }
 
 static void
