--- a/src/relay/attempt_remote.c
+++ b/src/relay/attempt_remote.c
@@ -39,21 +39,22 @@
   const char *service = eel_service_name (&relay->names, attempt->call.service);
   uint64_t request_body = link->body_bytes;
   uint64_t answer_body = attempt->answer_body_bytes;
+  uint8_t domain = attempt->instance->domain;
 
   if (attempt->answer_started && !attempt->is_refusal)
     eel_domain_flow_count_bytes (&relay->domain_flow, attempt->call.route,
                                  link->written_bytes + link->read_bytes);
   if (attempt->instance->same_domain)
     return;
-  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+  eel_domain_traffic_bytes (&relay->domain_traffic, service, domain,
                             EEL_TRAFFIC_REQUEST_HEAD,
                             link->written_bytes - request_body);
-  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+  eel_domain_traffic_bytes (&relay->domain_traffic, service, domain,
                             EEL_TRAFFIC_REQUEST_BODY, request_body);
   eel_domain_traffic_bytes (
-      &relay->domain_traffic, service, EEL_TRAFFIC_ANSWER_HEAD,
+      &relay->domain_traffic, service, domain, EEL_TRAFFIC_ANSWER_HEAD,
       link->read_bytes > answer_body ? link->read_bytes - answer_body : 0);
-  eel_domain_traffic_bytes (&relay->domain_traffic, service,
+  eel_domain_traffic_bytes (&relay->domain_traffic, service, domain,
                             EEL_TRAFFIC_ANSWER_BODY, answer_body);
 }
 
--- a/src/relay/domain_traffic.c
+++ b/src/relay/domain_traffic.c
@@ -11,6 +11,8 @@
 #define LINE_INTERVAL_US (10 * EEL_US_PER_S)
 /* Name of the row that services without one share. */
 #define OTHERS "-"
+/* Others would need escapes in a label or a line. */
+#define NAME_CHARACTERS G_CSET_A_2_Z G_CSET_a_2_z G_CSET_DIGITS "._-"
 
 static const char *const cause_names[EEL_LEAVE_CAUSE_COUNT] = {
   [EEL_LEAVE_NO_ENDPOINT] = "no_endpoint",
@@ -31,10 +33,12 @@
 
 void
 eel_domain_traffic_init (struct eel_domain_traffic *traffic,
-                         struct eel_metrics *metrics)
+                         struct eel_metrics *metrics,
+                         char *const *names)
 {
   memset (traffic, 0, sizeof *traffic);
   traffic->metrics = metrics;
+  traffic->names = names;
   traffic->news_bytes = eel_metrics_get (
       metrics, EEL_METRIC_COUNTER, "eel_domain_other_bytes_total",
       "kind=\"news\"", "Bytes between domains that belong to no request.");
@@ -95,15 +99,54 @@
   return row;
 }
 
+/* Writes the name of a domain, or its number where names aren't known. */
+static void
+domain_name (const struct eel_domain_traffic *traffic,
+             uint32_t domain,
+             char *name,
+             size_t bytes)
+{
+  if (domain >= EEL_DOMAINS_MAX)
+    g_strlcpy (name, OTHERS, bytes);
+  else if (traffic->names != NULL && traffic->names[domain] != NULL)
+    g_strlcpy (name, traffic->names[domain], bytes);
+  else
+    snprintf (name, bytes, "%" PRIu32, domain);
+  g_strcanon (name, NAME_CHARACTERS, '_');
+}
+
+static struct eel_traffic_domain *
+domain_of (struct eel_domain_traffic *traffic, uint8_t domain)
+{
+  uint32_t number = domain < EEL_DOMAINS_MAX ? domain : EEL_DOMAINS_MAX;
+  struct eel_traffic_domain *row = &traffic->domains[number];
+  char labels[EEL_METRIC_LABELS_MAX];
+  char name[64];
+
+  if (row->requests != NULL)
+    return row;
+  domain_name (traffic, number, name, sizeof name);
+  snprintf (labels, sizeof labels, "domain=\"%s\"", name);
+  row->requests = eel_metrics_get (traffic->metrics, EEL_METRIC_COUNTER,
+                                   "eel_domain_sent_total", labels,
+                                   "Requests sent to each other domain.");
+  row->bytes = eel_metrics_get (
+      traffic->metrics, EEL_METRIC_COUNTER, "eel_domain_sent_bytes_total",
+      labels, "Bytes of requests sent to each other domain, both ways.");
+  return row;
+}
+
 void
 eel_domain_traffic_request (struct eel_domain_traffic *traffic,
                             const char *service,
+                            uint8_t domain,
                             enum eel_leave_cause cause,
                             int home_in_time)
 {
   struct eel_traffic_row *row = row_of (traffic, service);
 
   eel_metric_add (row->requests[cause], 1);
+  eel_metric_add (domain_of (traffic, domain)->requests, 1);
   if (home_in_time)
     eel_metric_add (row->home_in_time, 1);
 }
@@ -111,10 +154,12 @@
 void
 eel_domain_traffic_bytes (struct eel_domain_traffic *traffic,
                           const char *service,
+                          uint8_t domain,
                           enum eel_traffic_part part,
                           uint64_t bytes)
 {
   eel_metric_add (row_of (traffic, service)->bytes[part], bytes);
+  eel_metric_add (domain_of (traffic, domain)->bytes, bytes);
 }
 
 static uint64_t
@@ -149,6 +194,25 @@
   g_string_free (text, TRUE);
 }
 
+static void
+log_domains (struct eel_domain_traffic *traffic)
+{
+  for (uint32_t i = 0; i <= EEL_DOMAINS_MAX; i++)
+    {
+      struct eel_traffic_domain *row = &traffic->domains[i];
+      uint64_t requests = value_of (row->requests);
+      char name[64];
+
+      if (requests == row->logged)
+        continue;
+      domain_name (traffic, i, name, sizeof name);
+      g_message ("event=domain_sent domain=%s requests=%" PRIu64
+                 " bytes=%" PRIu64,
+                 name, requests, value_of (row->bytes));
+      row->logged = requests;
+    }
+}
+
 void
 eel_domain_traffic_tick (struct eel_domain_traffic *traffic, int64_t now_us)
 {
@@ -160,6 +224,7 @@
   traffic->logged_us = now_us;
   for (uint32_t i = 0; i < traffic->count; i++)
     log_row (&traffic->rows[i]);
+  log_domains (traffic);
   if (news + reading > 0)
     g_message ("event=domain_other_bytes news=%" PRIu64 " reading=%" PRIu64,
                news, reading);
--- a/src/relay/domain_traffic.h
+++ b/src/relay/domain_traffic.h
@@ -37,11 +37,24 @@
   uint64_t logged;
 };
 
+/* Requests sent to one domain, and their bytes both ways. */
+struct eel_traffic_domain
+{
+  struct eel_metric *requests;
+  struct eel_metric *bytes;
+  /* The requests at the last line. */
+  uint64_t logged;
+};
+
 struct eel_domain_traffic
 {
   struct eel_metrics *metrics;
+  /* Names by number, or NULL: the numbers are shown. */
+  char *const *names;
   struct eel_traffic_row rows[EEL_TRAFFIC_SERVICES_MAX + 1];
   uint32_t count;
+  /* By number of the domain; the last one is for those without. */
+  struct eel_traffic_domain domains[EEL_DOMAINS_MAX + 1];
   /* Both ways, of messages without a request. */
   struct eel_metric *news_bytes;
   struct eel_metric *reading_bytes;
@@ -49,13 +62,16 @@
 };
 
 void eel_domain_traffic_init (struct eel_domain_traffic *traffic,
-                              struct eel_metrics *metrics);
+                              struct eel_metrics *metrics,
+                              char *const *names);
 void eel_domain_traffic_request (struct eel_domain_traffic *traffic,
                                  const char *service,
+                                 uint8_t domain,
                                  enum eel_leave_cause cause,
                                  int home_in_time);
 void eel_domain_traffic_bytes (struct eel_domain_traffic *traffic,
                                const char *service,
+                               uint8_t domain,
                                enum eel_traffic_part part,
                                uint64_t bytes);
 /* Logs the services that have sent requests since the last line. */
--- a/src/relay/entry_leave.c
+++ b/src/relay/entry_leave.c
@@ -51,8 +51,8 @@
   cause = eel_place_leave_cause (&relay->directory, &query, now_us, &home_us);
   eel_domain_traffic_request (
       &relay->domain_traffic,
-      eel_service_name (&relay->names, entry->call.service), cause,
-      home_us > 0 && now_us + home_us <= entry->call.target_us);
+      eel_service_name (&relay->names, entry->call.service), instance->domain,
+      cause, home_us > 0 && now_us + home_us <= entry->call.target_us);
 }
 
 void
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -198,7 +198,8 @@
   eel_service_retries_init (&relay->retries, config->retry_ratio,
                             config->retry_window_us);
   init_counters (&relay->counters, metrics);
-  eel_domain_traffic_init (&relay->domain_traffic, metrics);
+  eel_domain_traffic_init (&relay->domain_traffic, metrics,
+                           config->domain_names);
   eel_domain_flow_init (&relay->domain_flow, &config->domain_flow);
   relay->gate.counts_later = config->domain_flow.enabled;
   eel_pool_init (&relay->endpoint_pool, base, &config->endpoint);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -101,6 +101,9 @@
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
   struct eel_domain_flow_config domain_flow;
+  /* Names of EEL_DOMAINS_MAX failure domains by number, NULL where unknown;
+     NULL: there are none. */
+  char *const *domain_names;
   /* Where nodes exchange messages about caps, on every VM at the same port; 0:
      none. */
   struct sockaddr_in caps;
--- a/tests/unit/test_relay_domains.cc
+++ b/tests/unit/test_relay_domains.cc
@@ -111,6 +111,37 @@
          relay.domain_traffic.rows[0].bytes[EEL_TRAFFIC_ANSWER_HEAD],
          relay.domain_traffic.rows[0].bytes[EEL_TRAFFIC_ANSWER_BODY] })
     EXPECT_GT (metric->value, 0U);
+  // The same by the domain that they went to.
+  const struct eel_traffic_domain &sent = relay.domain_traffic.domains[1];
+  uint64_t bytes = 0;
+
+  for (const auto *metric : relay.domain_traffic.rows[0].bytes)
+    bytes += metric->value;
+  ASSERT_NE (sent.requests, nullptr);
+  EXPECT_EQ (sent.requests->value, left ());
+  EXPECT_EQ (sent.bytes->value, bytes);
+  EXPECT_EQ (relay.domain_traffic.domains[2].requests, nullptr);
+}
+
+// Domains without a number share the last row.
+TEST_F (relay_domains_test, CountsByDomainAreBounded)
+{
+  char *const names[EEL_DOMAINS_MAX] = { nullptr, strdup ("east \"1\"") };
+  struct eel_metrics metrics;
+  struct eel_domain_traffic traffic;
+
+  eel_metrics_init (&metrics);
+  eel_domain_traffic_init (&traffic, &metrics, names);
+  for (int domain = 1; domain <= EEL_ANY_DOMAIN; domain++)
+    eel_domain_traffic_request (&traffic, "shop", (uint8_t)domain,
+                                EEL_LEAVE_USE, 0);
+  EXPECT_EQ (traffic.domains[1].requests->value, 1U);
+  EXPECT_STREQ (traffic.domains[1].requests->labels, "domain=\"east__1_\"");
+  EXPECT_STREQ (traffic.domains[2].requests->labels, "domain=\"2\"");
+  EXPECT_EQ (traffic.domains[EEL_DOMAINS_MAX].requests->value,
+             (uint64_t)(EEL_ANY_DOMAIN - EEL_DOMAINS_MAX + 1));
+  eel_metrics_finish (&metrics);
+  free (names[1]);
 }
 
 // The node of the other domain refuses guests for whom it has no slot soon, and
