Compare the only endpoint that was heard of with a sound one

Faults of an endpoint count by what they are above those of the soundest one that was heard of. A single report is compared with no faults now, if an endpoint as near that isn't in backoff may be sounder. With two reports or more nothing changes, so that what all share still counts for none.

Place.FaultyEndpointIsNotComparedWithItselfAlone failed before.

--- a/src/routing/place.c
+++ b/src/routing/place.c
@@ -134,9 +134,11 @@
 {
   uint64_t use_milli = 0;
   uint32_t reports = 0;
+  uint32_t judged = 0;
+  uint32_t unheard[2] = { 0 };
+  uint32_t own = 0;
 
   view->by_finish = 0;
-
   view->least_fault_milli = UINT32_MAX;
   view->least_hold_us = 0;
   for (uint32_t i = 0; i < directory->count; i++)
@@ -152,8 +154,18 @@
           reports++;
         }
       if (has_report (instance, FITNESS_LIFE_US, now_us))
-        view_fitness (&instance->report, view);
+        {
+          view_fitness (&instance->report, view);
+          judged++;
+          own = instance->same_domain != 0;
+        }
+      else if (now_us >= instance->avoid_until_us)
+        unheard[instance->same_domain != 0]++;
     }
+  /* The only report is compared with a sound endpoint, if there may be one as
+     near, and not with itself. */
+  if (judged == 1 && unheard[own] > 0)
+    view->least_fault_milli = 0;
   view->assumed_use_milli = USE_UNKNOWN_MILLI;
   if (reports > 0 && use_milli / reports < USE_UNKNOWN_MILLI)
     view->assumed_use_milli = (uint32_t)(use_milli / reports);
--- a/tests/unit/test_place.cc
+++ b/tests/unit/test_place.cc
@@ -247,6 +247,31 @@
   EXPECT_GT (load.at ("own-3").requests, 60u);
 }
 
+// Guards against a sender that goes on with a faulty endpoint since it has
+// heard of no other one that is sounder.
+TEST (Place, FaultyEndpointIsNotComparedWithItselfAlone)
+{
+  place_load load;
+  const struct eel_place_query query = { 0, nullptr, 0, 0, 0 };
+  struct eel_directory &directory = load.directories[0];
+  struct eel_instance *faulty;
+
+  load.add ("own-1", true);
+  load.add ("own-2", true);
+  faulty = &directory.instances[0];
+  faulty->reported_us = load.now_us;
+  faulty->report.fault_milli = 200;
+  for (int i = 0; i < 100; i++)
+    EXPECT_NE (eel_place_pick_in (&directory, &query, EEL_ANY_DOMAIN,
+                                  load.now_us, &load.rng),
+               faulty);
+  // An endpoint in backoff is none to compare with.
+  directory.instances[1].avoid_until_us = load.now_us + EEL_US_PER_S;
+  EXPECT_EQ (eel_place_pick_in (&directory, &query, EEL_ANY_DOMAIN, load.now_us,
+                                &load.rng),
+             faulty);
+}
+
 // One fault of a few runs counts little, and old ones are forgotten.
 TEST (FaultRate, NeedsSeveralRunsAndForgets)
 {
