Escape names of services in labels of metrics

A service's name went into the labels of eel_domain_*_total as it came: a quote in it ended the label, a newline the line, and the page of metrics could not be read. Names of up to 62 bytes with their escapes fit.

DomainTraffic.NamesInLabelsAreEscaped is new; the tests of domains pass.

--- a/src/relay/domain_traffic.c
+++ b/src/relay/domain_traffic.c
@@ -12,6 +12,8 @@
 #define LINE_INTERVAL_US (10 * EEL_US_PER_S)
 /* Name of the row that services without one share. */
 #define OTHERS "-"
+/* A service in the labels of its metrics, with its escapes. */
+#define LABEL_BYTES 64
 
 static const char *const cause_names[EEL_LEAVE_CAUSE_COUNT] = {
   [EEL_LEAVE_NO_ENDPOINT] = "no_endpoint",
@@ -44,31 +46,51 @@
       "kind=\"reading\"", "Bytes between domains that belong to no request.");
 }
 
+/* Writes a name as the value of a label, as far as there is room: quotes and
+   backslashes are escaped, control characters replaced. */
+static void
+write_label (char out[LABEL_BYTES], const char *name)
+{
+  uint32_t used = 0;
+
+  for (; *name != 0 && used < LABEL_BYTES - 2; name++)
+    {
+      if (*name == '"' || *name == '\\')
+        out[used++] = '\\';
+      out[used++] = *name;
+      if ((unsigned char)*name < ' ')
+        out[used - 1] = '?';
+    }
+  out[used] = 0;
+}
+
 static void
 row_init (struct eel_domain_traffic *traffic,
           struct eel_traffic_row *row,
           const char *service)
 {
   char labels[EEL_METRIC_LABELS_MAX];
+  char label[LABEL_BYTES];
 
   g_strlcpy (row->service, service, sizeof row->service);
+  write_label (label, service);
   for (uint32_t i = 0; i < EEL_LEAVE_CAUSE_COUNT; i++)
     {
-      snprintf (labels, sizeof labels, "service=\"%.63s\",cause=\"%s\"",
-                service, cause_names[i]);
+      snprintf (labels, sizeof labels, "service=\"%s\",cause=\"%s\"", label,
+                cause_names[i]);
       row->requests[i] = eel_metrics_get (traffic->metrics, EEL_METRIC_COUNTER,
                                           "eel_domain_requests_total", labels,
                                           "Requests sent to other domains.");
     }
   for (uint32_t i = 0; i < EEL_TRAFFIC_PART_COUNT; i++)
     {
-      snprintf (labels, sizeof labels, "service=\"%.63s\",part=\"%s\"", service,
+      snprintf (labels, sizeof labels, "service=\"%s\",part=\"%s\"", label,
                 part_names[i]);
       row->bytes[i] = eel_metrics_get (
           traffic->metrics, EEL_METRIC_COUNTER, "eel_domain_bytes_total",
           labels, "Bytes of requests sent to other domains, both ways.");
     }
-  snprintf (labels, sizeof labels, "service=\"%.63s\"", service);
+  snprintf (labels, sizeof labels, "service=\"%s\"", label);
   row->home_in_time = eel_metrics_get (
       traffic->metrics, EEL_METRIC_COUNTER, "eel_domain_home_in_time_total",
       labels, "Requests sent to other domains that home could serve in time.");
--- a/tests/unit/test_relay_domains.cc
+++ b/tests/unit/test_relay_domains.cc
@@ -135,3 +135,33 @@
   EXPECT_TRUE (cluster.nodes[1]->upstream.requests.empty ());
   EXPECT_GE (other.gate.refused, 4U);
 }
+
+// Guards against a service's name that breaks the page of metrics.
+TEST (DomainTraffic, NamesInLabelsAreEscaped)
+{
+  struct eel_domain_traffic traffic;
+  struct eel_metrics metrics;
+  std::string text;
+  size_t bytes = 0;
+  char *page;
+
+  eel_metrics_init (&metrics);
+  eel_domain_traffic_init (&traffic, &metrics);
+  for (const char *name : { "a\"} 7\n", "b\\" })
+    eel_domain_traffic_request (&traffic, name, EEL_LEAVE_NO_ENDPOINT, 1);
+  eel_domain_traffic_request (&traffic, std::string (63, '"').c_str (),
+                              EEL_LEAVE_NO_ENDPOINT, 1);
+  page = eel_metrics_render (&metrics, &bytes);
+  text.assign (page, bytes);
+  free (page);
+  eel_metrics_finish (&metrics);
+  EXPECT_NE (text.find (R"({service="a\"} 7?"} 1)"), std::string::npos) << text;
+  EXPECT_NE (text.find (R"({service="b\\"} 1)"), std::string::npos) << text;
+  for (size_t at = 0; (at = text.find ('{', at)) != std::string::npos; at++)
+    {
+      size_t end = text.find ('\n', at);
+
+      EXPECT_EQ (text.substr (text.rfind ('}', end) - 1, 2), "\"}")
+          << text.substr (at, end - at);
+    }
+}
