--- a/tests/unit/test_relay_domains.cc
+++ b/tests/unit/test_relay_domains.cc
@@ -170,6 +170,7 @@
 // Guards against a service's name that breaks the page of metrics.
 TEST (DomainTraffic, NamesInLabelsAreEscaped)
 {
+  char *const names[EEL_DOMAINS_MAX] = {};
   struct eel_domain_traffic traffic;
   struct eel_metrics metrics;
   std::string text;
@@ -177,10 +178,10 @@
   char *page;
 
   eel_metrics_init (&metrics);
-  eel_domain_traffic_init (&traffic, &metrics);
+  eel_domain_traffic_init (&traffic, &metrics, names);
   for (const char *name : { "a\"} 7\n", "b\\" })
-    eel_domain_traffic_request (&traffic, name, EEL_LEAVE_NO_ENDPOINT, 1);
-  eel_domain_traffic_request (&traffic, std::string (63, '"').c_str (),
+    eel_domain_traffic_request (&traffic, name, 1, EEL_LEAVE_NO_ENDPOINT, 1);
+  eel_domain_traffic_request (&traffic, std::string (63, '"').c_str (), 1,
                               EEL_LEAVE_NO_ENDPOINT, 1);
   page = eel_metrics_render (&metrics, &bytes);
   text.assign (page, bytes);
