--- a/include/eelgrasslatch/retry_share.h
+++ b/include/eelgrasslatch/retry_share.h
@@ -41,5 +41,10 @@
 int eel_retry_share_take (struct eel_retry_share *share,
                           uint32_t cost_milli,
                           int64_t now_us);
+/* Retries, in thousandths, that are left until the present slot ends, which is
+   in left_us. */
+double eel_retry_share_room_milli (struct eel_retry_share *share,
+                                   int64_t *left_us,
+                                   int64_t now_us);
 
 #endif
--- a/src/retry/retry_share.c
+++ b/src/retry/retry_share.c
@@ -104,3 +104,25 @@
   share->retries_milli[share->slot] += cost_milli;
   return 1;
 }
+
+double
+eel_retry_share_room_milli (struct eel_retry_share *share,
+                            int64_t *left_us,
+                            int64_t now_us)
+{
+  double room_milli;
+  double in_slot;
+
+  advance (share, now_us);
+  *left_us = share->slot_end_us - now_us;
+  in_slot = share->retries_milli[share->slot];
+  room_milli = (remaining_milli (share, 1) + in_slot) * SLOT_SHARE - in_slot;
+  for (uint32_t slots = 1; slots <= EEL_RETRY_SHARE_SLOTS; slots++)
+    {
+      double window_milli = remaining_milli (share, slots);
+
+      if (window_milli < room_milli)
+        room_milli = window_milli;
+    }
+  return room_milli;
+}
