Give too few retries to calls of runs that need the fewest more

--retries=finish at the node of the users' platform, off by default: the node beside an endpoint, where all calls of its runs enter, grants a rejected call its retry by retry_order.h. Nothing new passes between nodes; a misjudged call costs its place in the order, never the bound.

--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -1,6 +1,7 @@
 #ifndef EEL_RELAY_CONN_H
 #define EEL_RELAY_CONN_H
 
+#include "eelgrasslatch/call_chain.h"
 #include "relay/server.h"
 #include "relay/socket.h"
 
@@ -19,6 +20,8 @@
   /* The exchange whose request is being read. */
   struct eel_exchange *reading;
   uint32_t count;
+  /* For the server's owner. */
+  struct eel_call_chain chain;
   /* Start of the present phase: idle, reading a head, or lingering. */
   int64_t phase_start_us;
   /* Latest deadline of the answers sent. */
--- a/src/relay/entry.h
+++ b/src/relay/entry.h
@@ -35,6 +35,9 @@
   uint8_t refusals_at_home;
   /* An endpoint may have run it: no answer may state that none has. */
   uint8_t may_have_run;
+  /* Calls that the run which sent it needs, this one included; 0: not counted.
+   */
+  uint32_t calls_needed;
   /* The present endpoint, and the last one that shed the request. */
   struct eel_instance *instance;
   struct eel_instance *shed_by;
@@ -90,6 +93,13 @@
 void eel_entry_refused (struct eel_entry *entry);
 /* Records that the present endpoint ran the request, or shed it. */
 void eel_entry_ran (struct eel_entry *entry, int is_shed);
+/* Counts the request as a call of the run that sent it, as far as that shows;
+   call it once, and the next with its answer. */
+void eel_entry_count_call (struct eel_entry *entry);
+void eel_entry_count_answer (struct eel_entry *entry, int is_success);
+/* Takes a retry of its service; returns 0 when there is none, or others go
+   first. */
+int eel_entry_take_retry (struct eel_entry *entry, uint32_t cost_milli);
 /* Answers with an error of this node; frees the entry. */
 void eel_entry_answer_error (struct eel_entry *entry, enum eel_error error);
 /*
--- a/src/relay/entry_admit.c
+++ b/src/relay/entry_admit.c
@@ -39,6 +39,7 @@
 
   eel_exchange_pause (exchange, 0);
   eel_call_costs_count_call (&relay->call_costs, entry->call.route);
+  eel_entry_count_call (entry);
   eel_service_retries_request (&relay->retries, entry->call.service,
                                entry->arrived_us);
   if (eel_sharing_refuses (entry))
--- a/src/relay/entry_answer.c
+++ b/src/relay/entry_answer.c
@@ -125,6 +125,7 @@
     relay->entry_failed_us = now_us;
   if (entry->arrivals == 0 && !entry->may_have_run)
     eel_entry_return_token (entry);
+  eel_entry_count_answer (entry, 0);
   eel_entry_free (entry);
   eel_entry_refuse (exchange, reported, after_us);
 }
@@ -272,6 +273,7 @@
     }
   log_upstream_error (entry, latency_us);
   report_outcome (entry, entry->status >= 500);
+  eel_entry_count_answer (entry, entry->status < 400);
   if (entry->status >= 500)
     entry->relay->entry_failed_us = entry->arrived_us + latency_us;
   if (entry->status < 400)
@@ -292,8 +294,7 @@
       || (failure != EEL_FAILURE_SHED && entry->arrivals >= entry->attempts_max)
       || (entry->may_have_run && !entry->call.idempotent))
     return 0;
-  if (!eel_service_retries_take (&entry->relay->retries, entry->call.service,
-                                 cost_milli, eel_clock_us ()))
+  if (!eel_entry_take_retry (entry, cost_milli))
     return 0;
   eel_metric_add (entry->relay->counters.retries, 1);
   return 1;
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -119,6 +119,8 @@
   COUNTER (refused, "eel_relay_refused_total", "Requests told to come back.");
   COUNTER (failed, "eel_relay_failed_total", "Requests that failed.");
   COUNTER (retries, "eel_relay_retries_total", "Further arrivals.");
+  COUNTER (retries_kept, "eel_relay_retries_kept_total",
+           "Retries refused for those that go first.");
   COUNTER (disconnected, "eel_relay_gone_total", "Requests whose caller left.");
   COUNTER (team_unknown, "eel_relay_team_unknown_total",
            "Requests without a key in force that needed one.");
@@ -188,6 +190,7 @@
   eel_entry_gate_init (&relay->entry_gate);
   eel_crowding_init (&relay->crowding);
   eel_call_costs_init (&relay->call_costs);
+  eel_call_lengths_init (&relay->call_lengths);
   eel_fault_rate_init (&relay->fault_rate);
   eel_run_times_init (&relay->run_times);
   eel_crash_watch_init (&relay->crash_watch, eel_rng_next (&relay->rng));
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <stdint.h>
 
+#include "eelgrasslatch/call_chain.h"
 #include "eelgrasslatch/crash_watch.h"
 #include "eelgrasslatch/crowding.h"
 #include "eelgrasslatch/directory.h"
@@ -100,6 +101,8 @@
   uint8_t fair_teams;
   /* Place requests by the expected end of their run. */
   uint8_t by_finish;
+  /* Too few retries go to the calls of runs that need the fewest more. */
+  uint8_t retries_by_finish;
   struct eel_domain_flow_config domain_flow;
   /* Where nodes exchange messages about caps, on every VM at the same port; 0:
      none. */
@@ -115,6 +118,8 @@
   struct eel_metric *refused;
   struct eel_metric *failed;
   struct eel_metric *retries;
+  /* Refused for those that go first, with retries_by_finish. */
+  struct eel_metric *retries_kept;
   struct eel_metric *disconnected;
   struct eel_metric *team_unknown;
   struct eel_metric *teams_outdated;
@@ -189,6 +194,7 @@
   struct eel_crowding crowding;
   struct eel_sharing sharing;
   struct eel_call_costs call_costs;
+  struct eel_call_lengths call_lengths;
   struct eel_crash_watch crash_watch;
   struct eel_quarantine quarantine;
   struct eel_quarantine_entry quarantine_entries[EEL_RELAY_QUARANTINE_MAX];
--- a/src/relay/service_retries.c
+++ b/src/relay/service_retries.c
@@ -16,7 +16,10 @@
 eel_service_retries_finish (struct eel_service_retries *retries)
 {
   for (uint32_t i = 0; i < retries->count; i++)
-    free (retries->slots[i].share);
+    {
+      free (retries->slots[i].share);
+      free (retries->slots[i].order);
+    }
   free (retries->slots);
   retries->slots = NULL;
   retries->count = 0;
@@ -83,6 +86,34 @@
                                   now_us);
 }
 
+/* Without memory for the order the first come get them. */
+int
+eel_service_retries_in_order (struct eel_service_retries *retries,
+                              uint32_t service,
+                              uint8_t rank,
+                              uint32_t needed,
+                              uint32_t cost_milli,
+                              int64_t now_us)
+{
+  struct eel_service_retries_slot *slot;
+  double room_milli;
+  int64_t left_us;
+
+  if (service >= retries->count || retries->slots[service].share == NULL)
+    return 1;
+  slot = &retries->slots[service];
+  if (slot->order == NULL)
+    {
+      slot->order = malloc (sizeof *slot->order);
+      if (slot->order == NULL)
+        return 1;
+      eel_retry_order_init (slot->order, now_us);
+    }
+  room_milli = eel_retry_share_room_milli (slot->share, &left_us, now_us);
+  return eel_retry_order_allows (slot->order, rank, needed, cost_milli,
+                                 room_milli, left_us, now_us);
+}
+
 void
 eel_service_retries_forget (struct eel_service_retries *retries,
                             uint32_t service)
@@ -90,5 +121,6 @@
   if (service >= retries->count)
     return;
   free (retries->slots[service].share);
-  retries->slots[service].share = NULL;
+  free (retries->slots[service].order);
+  retries->slots[service] = (struct eel_service_retries_slot){ 0 };
 }
--- a/src/relay/service_retries.h
+++ b/src/relay/service_retries.h
@@ -3,6 +3,7 @@
 
 #include <stdint.h>
 
+#include "eelgrasslatch/retry_order.h"
 #include "eelgrasslatch/retry_share.h"
 
 /* The retry share of each service, made with the service's first request. */
@@ -11,6 +12,8 @@
 {
   /* NULL: no request yet. */
   struct eel_retry_share *share;
+  /* NULL: none was refused. */
+  struct eel_retry_order *order;
 };
 
 struct eel_service_retries
@@ -38,6 +41,13 @@
                               uint32_t service,
                               uint32_t cost_milli,
                               int64_t now_us);
+/* As eel_retry_order_allows, among the retries that the share leaves. */
+int eel_service_retries_in_order (struct eel_service_retries *retries,
+                                  uint32_t service,
+                                  uint8_t rank,
+                                  uint32_t needed,
+                                  uint32_t cost_milli,
+                                  int64_t now_us);
 /* The number of the service may be used for another one from now on. */
 void eel_service_retries_forget (struct eel_service_retries *retries,
                                  uint32_t service);
--- a/tests/run/test_cli.sh
+++ b/tests/run/test_cli.sh
@@ -31,6 +31,8 @@
 grep -q "^--leave-domain: 'sometimes' is neither use nor flow$" "$dir/out"
 expect 64 "$BUILD/eelgrasslatch-platformd" --share=equal
 grep -q "^--share: 'equal' is neither targets nor teams$" "$dir/out"
+expect 64 "$BUILD/eelgrasslatch-platformd" --retries=never
+grep -q "^--retries: 'never' is neither arrival nor finish$" "$dir/out"
 expect 64 "$BUILD/eelgrasslatch-platformd" --leave-domain=flow --kilobyte-cost=-1
 expect 64 "$BUILD/eelgrasslatch-platformd" --kilobyte-cost=nan
 expect 0 "$BUILD/eelgrasslatchctl" --version
