--- a/src/relay/caps_nodes.c
+++ b/src/relay/caps_nodes.c
@@ -65,7 +65,10 @@
     return;
   view = calloc (1, sizeof *view);
   if (view == NULL)
-    return;
+    {
+      g_warning ("event=caps_nodes_outdated reason=\"no memory\"");
+      return;
+    }
   sort_nodes (&relay->directory, eel_clock_us (), &nodes);
   eel_cap_view_set (view, nodes.listed, nodes.listed_count, nodes.lapsed,
                     nodes.lapsed_count);
