Forget a slow moment within five answers

The speed's sums decay in 200 ms, and a slow run counts in them by the time it took: five answers after a moment's end its runs had most of the weight. Below the usual speed it is now no lower than that of the five runs that ended last, with the two usual runs of the prior. Noticing takes all of the five slow, so it stays as quick.

--- a/include/eelgrasslatch/run_times.h
+++ b/include/eelgrasslatch/run_times.h
@@ -18,6 +18,8 @@
  */
 
 #define EEL_RUN_TIMES_ROUTES_MAX 32
+/* Runs by which the end of a slow moment is noticed. */
+#define EEL_RUN_TIMES_LAST 5
 /* A longer run counts as this. */
 #define EEL_RUN_TIMES_MAX_US (3600 * EEL_US_PER_S)
 
@@ -38,6 +40,9 @@
   double usual_us;
   double held_us;
   int64_t sums_at_us;
+  /* Of the runs that ended last, in turn: the time taken over the usual one. */
+  double last_ratios[EEL_RUN_TIMES_LAST];
+  uint64_t ended;
 };
 
 void eel_run_times_init (struct eel_run_times *times);
--- a/src/admission/run_times.c
+++ b/src/admission/run_times.c
@@ -94,6 +94,8 @@
     {
       times->usual_us += entry->mean_us;
       times->held_us += fmin (sample_us, SPEED_CLIP_FACTOR * entry->mean_us);
+      times->last_ratios[times->ended++ % EEL_RUN_TIMES_LAST]
+          = fmin (sample_us / entry->mean_us, SPEED_CLIP_FACTOR);
       sample_us = fmin (sample_us, CLIP_FACTOR * entry->mean_us);
     }
   entry->mean_us
@@ -138,6 +140,20 @@
   return count == 0 ? 0 : SPEED_PRIOR_RUNS * sum_us / count;
 }
 
+/* Speed by the runs that ended last, each relative to its own route; 0: there
+   are too few. */
+static double
+last_speed_milli (const struct eel_run_times *times)
+{
+  double sum = SPEED_PRIOR_RUNS;
+
+  if (times->ended < EEL_RUN_TIMES_LAST)
+    return 0;
+  for (uint32_t i = 0; i < EEL_RUN_TIMES_LAST; i++)
+    sum += times->last_ratios[i];
+  return SPEED_USUAL_MILLI * (EEL_RUN_TIMES_LAST + SPEED_PRIOR_RUNS) / sum;
+}
+
 uint32_t
 eel_run_times_speed_milli (const struct eel_run_times *times, int64_t now_us)
 {
@@ -149,5 +165,8 @@
   if (prior <= 0)
     return SPEED_USUAL_MILLI;
   speed_milli = SPEED_USUAL_MILLI * (kept * times->usual_us + prior) / held_us;
+  if (speed_milli < SPEED_USUAL_MILLI)
+    speed_milli = fmax (speed_milli,
+                        fmin (last_speed_milli (times), SPEED_USUAL_MILLI));
   return (uint32_t)fmin (fmax (speed_milli, SPEED_MIN_MILLI), SPEED_MAX_MILLI);
 }
--- a/tests/unit/test_run_times.cc
+++ b/tests/unit/test_run_times.cc
@@ -130,6 +130,24 @@
     }
 }
 
+// While nothing changes, one answer in a hundred at most lets the endpoint look
+// slow.
+TEST (RunTimes, RandomPartsSeldomLookLikeASlowMoment)
+{
+  constexpr uint32_t ANSWERS = 10000;
+  uint32_t slow = 0;
+  runs runs;
+
+  runs.record (200, 1);
+  for (uint32_t i = 0; i < ANSWERS; i++)
+    {
+      runs.record (1, 1);
+      slow += runs.speed () <= NOTICED_MILLI;
+      EXPECT_NEAR (runs.speed (), 1000, 300) << i;
+    }
+  EXPECT_LE (slow, ANSWERS / 100);
+}
+
 // Nor does a route of long runs hide it that had its last one seconds ago.
 TEST (RunTimes, SlowMomentIsSeenBesideAnIdleLongRoute)
 {
