Offer what home refused first to domains that refused nothing

A request that home had refused was offered to domains with room by their reports, whether or not they had refused requests a moment ago: with late reports it met the same full domain up to three times while the third one had room. Domains that refused go last now, after those that aren't known.

The tests of test_domain_flow.cc pass.

--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -175,17 +175,14 @@
          * (double)request->route_target_us / 1000;
 }
 
-/* Picks one of the domains with room, in proportion to it; sets wait_us to
-   what a request loses on
-   the way and there.  Returns EEL_HOME_DOMAIN when none has any. */
+/* Draws a domain by its room, or returns EEL_HOME_DOMAIN; with or without those
+   that have refused a request a moment ago. */
 static uint8_t
-pick_room (struct eel_domain_flow *flow,
-           const struct eel_flow_service *row,
+draw_room (const struct eel_flow_service *row,
            const struct service_view *view,
-           const struct eel_flow_request *request,
+           int with_full,
            int64_t now_us,
-           struct eel_rng *rng,
-           double *wait_us)
+           struct eel_rng *rng)
 {
   uint8_t found = EEL_HOME_DOMAIN;
   double sum = 0;
@@ -194,13 +191,33 @@
     {
       const struct domain_view *domain = &view->domains[i];
 
-      if (now_us < row->full_until_us[i] && request->refusals < HOME_REFUSALS)
+      if (now_us < row->full_until_us[i] && !with_full)
         continue;
       sum += domain->room_slots;
       if (domain->room_slots > 0
           && eel_rng_unit (rng) * sum < domain->room_slots)
         found = i;
     }
+  return found;
+}
+
+/* Picks one of the domains with room, in proportion to it, those that have
+   refused a request a moment ago only once home has; sets wait_us to what a
+   request loses on the way and there.  Returns EEL_HOME_DOMAIN when none has
+   any. */
+static uint8_t
+pick_room (struct eel_domain_flow *flow,
+           const struct eel_flow_service *row,
+           const struct service_view *view,
+           const struct eel_flow_request *request,
+           int64_t now_us,
+           struct eel_rng *rng,
+           double *wait_us)
+{
+  uint8_t found = draw_room (row, view, 0, now_us, rng);
+
+  if (found == EEL_HOME_DOMAIN && request->refusals >= HOME_REFUSALS)
+    found = draw_room (row, view, 1, now_us, rng);
   if (found != EEL_HOME_DOMAIN)
     *wait_us = view->domains[found].wait_us
                + WAY_EXCHANGES * flow->way_us[found]
@@ -208,8 +225,8 @@
   return found;
 }
 
-/* Returns a domain with sound endpoints, or EEL_HOME_DOMAIN; with unknown_only,
-   one without a fresh report that has refused nothing a moment ago. */
+/* Returns a domain with sound endpoints that has refused nothing a moment ago,
+   or EEL_HOME_DOMAIN; with unknown_only, one without a fresh report. */
 static uint8_t
 pick_untold (struct eel_flow_service *row,
              const struct service_view *view,
@@ -221,9 +238,8 @@
   uint32_t count = 0;
 
   for (uint8_t i = EEL_HOME_DOMAIN + 1; i < EEL_DOMAINS_MAX; i++)
-    if (view->domains[i].sound > 0
-        && (!unknown_only
-            || (view->domains[i].fresh == 0 && now_us >= row->full_until_us[i]))
+    if (view->domains[i].sound > 0 && now_us >= row->full_until_us[i]
+        && (!unknown_only || view->domains[i].fresh == 0)
         && eel_rng_below (rng, ++count) == 0)
       found = i;
   if (found != EEL_HOME_DOMAIN)
@@ -231,6 +247,19 @@
   return found;
 }
 
+/* Draws a domain with sound endpoints, or returns EEL_HOME_DOMAIN. */
+static uint8_t
+draw_sound (const struct service_view *view, struct eel_rng *rng)
+{
+  uint8_t found = EEL_HOME_DOMAIN;
+  uint32_t count = 0;
+
+  for (uint8_t i = EEL_HOME_DOMAIN + 1; i < EEL_DOMAINS_MAX; i++)
+    if (view->domains[i].sound > 0 && eel_rng_below (rng, ++count) == 0)
+      found = i;
+  return found;
+}
+
 static double
 way_cost (struct eel_domain_flow *flow, const struct eel_flow_request *request)
 {
@@ -247,14 +276,19 @@
                int64_t now_us,
                struct eel_rng *rng)
 {
-  double wait_us = 0;
   uint8_t domain;
 
   if (view->tried_abroad >= TRIED_ABROAD_MAX || way_cost (flow, request) >= 1)
     return EEL_NO_DOMAIN;
-  domain = pick_room (flow, row, view, request, now_us, rng, &wait_us);
+  /* One that has refused a request a moment ago goes after one that is not
+     known to have room. */
+  domain = draw_room (row, view, 0, now_us, rng);
   if (domain == EEL_HOME_DOMAIN)
     domain = pick_untold (row, view, 0, now_us, rng);
+  if (domain == EEL_HOME_DOMAIN)
+    domain = draw_room (row, view, 1, now_us, rng);
+  if (domain == EEL_HOME_DOMAIN)
+    domain = draw_sound (view, rng);
   return domain == EEL_HOME_DOMAIN ? EEL_NO_DOMAIN : domain;
 }
 
