--- a/include/eelgrasslatch/gate.h
+++ b/include/eelgrasslatch/gate.h
@@ -80,10 +80,6 @@
 struct eel_gate
 {
   uint32_t limit;
-  /* The limit by the slots alone, and the number of runs up to which requests
-     start at present. */
-  uint32_t full_limit;
-  uint32_t start_limit;
   struct eel_rate_limit rate;
   uint32_t running;
   /* One more for the request that took the place of a displaced one. */
@@ -112,11 +108,6 @@
 void eel_gate_init (struct eel_gate *gate, uint32_t slots);
 /* Sets the limit from the slots that the endpoint announces. */
 void eel_gate_set_slots (struct eel_gate *gate, uint32_t slots);
-/* Lowers the limit to that from which more runs bring no more done, and starts
-   requests up to start_limit meanwhile; both are at most the full limit. */
-void eel_gate_set_limit (struct eel_gate *gate,
-                         uint32_t limit,
-                         uint32_t start_limit);
 enum eel_gate_verdict eel_gate_offer (struct eel_gate *gate,
                                       const struct eel_gate_item *item,
                                       int64_t now_us);
--- a/src/admission/gate.c
+++ b/src/admission/gate.c
@@ -25,9 +25,6 @@
  * at most a share. */
 #define REFUSAL_WAY_US (20 * EEL_US_PER_MS)
 #define REFUSAL_WAY_PERCENT_MAX 10
-/* Time until requests are started again that wait since a lower limit is being
- * tried. */
-#define LIMIT_RECHECK_US (100 * EEL_US_PER_MS)
 
 void
 eel_gate_init (struct eel_gate *gate, uint32_t slots)
@@ -43,26 +40,9 @@
 void
 eel_gate_set_slots (struct eel_gate *gate, uint32_t slots)
 {
-  gate->full_limit = slots * LIMIT_PERCENT / 100;
-  if (gate->full_limit == 0)
-    gate->full_limit = 1;
-  gate->limit = gate->full_limit;
-  gate->start_limit = gate->full_limit;
-}
-
-static uint32_t
-bounded_limit (const struct eel_gate *gate, uint32_t limit)
-{
-  if (limit == 0)
-    return 1;
-  return limit < gate->full_limit ? limit : gate->full_limit;
-}
-
-void
-eel_gate_set_limit (struct eel_gate *gate, uint32_t limit, uint32_t start_limit)
-{
-  gate->limit = bounded_limit (gate, limit);
-  gate->start_limit = bounded_limit (gate, start_limit);
+  gate->limit = slots * LIMIT_PERCENT / 100;
+  if (gate->limit == 0)
+    gate->limit = 1;
 }
 
 static void
@@ -125,7 +105,7 @@
 int64_t
 eel_gate_wait_us (const struct eel_gate *gate, int64_t now_us)
 {
-  if (gate->running < gate->start_limit && gate->queued == 0)
+  if (gate->running < gate->limit && gate->queued == 0)
     return eel_rate_limit_wait_us (&gate->rate, 0, now_us);
   return eel_gate_expected_wait_us (gate, gate->queued, now_us);
 }
@@ -213,7 +193,7 @@
   struct eel_gate_share own = eel_gate_share_count (gate, item, share, now_us);
 
   update_use (gate, now_us);
-  if (gate->running < gate->start_limit && gate->queued == 0
+  if (gate->running < gate->limit && gate->queued == 0
       && eel_rate_limit_take (&gate->rate, now_us))
     {
       gate->running++;
@@ -315,7 +295,7 @@
         drop_item (gate, i, item);
         return EEL_GATE_REFUSE;
       }
-  if (gate->running >= gate->start_limit
+  if (gate->running >= gate->limit
       || !eel_rate_limit_take (&gate->rate, now_us))
     return EEL_GATE_QUEUE;
   for (uint32_t i = 1; i < gate->queued; i++)
@@ -348,15 +328,13 @@
     if (expiry_us (gate, &gate->queue[i]) < next_us)
       next_us = expiry_us (gate, &gate->queue[i]);
   next_us = next_us < now_us ? 1 : next_us - now_us + 1;
-  if (gate->running < gate->start_limit)
+  if (gate->running < gate->limit)
     {
       int64_t start_us = eel_rate_limit_wait_us (&gate->rate, 0, now_us);
 
       if (start_us > 0 && start_us < next_us)
         next_us = start_us;
     }
-  else if (gate->running < gate->limit && next_us > LIMIT_RECHECK_US)
-    next_us = LIMIT_RECHECK_US;
   return next_us;
 }
 
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -118,8 +118,6 @@
   uint16_t answer_status;
   uint8_t answer_done;
   int64_t started_us;
-  /* Runs at this node's endpoint when this one began, with it. */
-  uint32_t running_count;
   /* Why the endpoint interrupted the run; NULL: it did not. */
   const char *interruption;
   /* The answer is a refusal of this kind and is not relayed. */
--- a/src/relay/attempt_local.c
+++ b/src/relay/attempt_local.c
@@ -52,7 +52,8 @@
   if (held_us < 0)
     return;
   if (tells_run_time (attempt))
-    eel_relay_record_run (attempt->relay, attempt, now_us);
+    eel_run_times_record (&attempt->relay->run_times, attempt->call.route,
+                          held_us, now_us);
   eel_metric_observe (attempt->relay->counters.hold, held_us);
 }
 
@@ -249,7 +250,6 @@
   attempt->queued = 0;
   attempt->running = 1;
   attempt->started_us = eel_clock_us ();
-  attempt->running_count = relay->gate.running;
   if (refusal != NULL)
     {
       eel_attempt_fail_local (attempt, EEL_FAILURE_LEAVING, refusal);
@@ -327,7 +327,6 @@
       return;
     }
   eel_self_report_expect (attempt->relay, call->instance_id);
-  eel_relay_update_limit (relay, attempt->started_us);
   switch (
       eel_gate_offer_share (&relay->gate, &item, &share, attempt->started_us))
     {
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -1,5 +1,4 @@
 #include "internal/task.h"
-#include "relay/attempt.h"
 #include "relay/relay.h"
 
 /* The load that a node reports of its endpoint, and what others report. */
@@ -82,37 +81,3 @@
   relay->load_logged_us = now_us;
   relay->load_logged_started = gate->started;
 }
-
-void
-eel_relay_record_run (struct eel_relay *relay,
-                      const struct eel_attempt *attempt,
-                      int64_t now_us)
-{
-  int64_t held_us = now_us - attempt->started_us;
-  uint64_t route = attempt->call.route;
-
-  eel_run_times_record (&relay->run_times, route, held_us, now_us);
-  if (relay->config.by_finish)
-    eel_knee_record (
-        &relay->knee, attempt->running_count, attempt->started_us,
-        (double)held_us
-            / (double)eel_run_times_usual_us (&relay->run_times, route),
-        now_us);
-}
-
-void
-eel_relay_update_limit (struct eel_relay *relay, int64_t now_us)
-{
-  struct eel_gate *gate = &relay->gate;
-
-  if (!relay->config.by_finish)
-    return;
-  eel_knee_set_full (&relay->knee, gate->full_limit);
-  eel_gate_set_limit (gate, eel_knee_limit (&relay->knee),
-                      eel_knee_start_limit (&relay->knee, now_us));
-  if (gate->full_limit - gate->limit == relay->limit_cut)
-    return;
-  relay->limit_cut = gate->full_limit - gate->limit;
-  g_message ("event=limit_learned limit=%u full_limit=%u", gate->limit,
-             gate->full_limit);
-}
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -196,7 +196,6 @@
   eel_call_lengths_init (&relay->call_lengths);
   eel_fault_rate_init (&relay->fault_rate);
   eel_run_times_init (&relay->run_times);
-  eel_knee_init (&relay->knee, relay->gate.full_limit);
   eel_crash_watch_init (&relay->crash_watch, eel_rng_next (&relay->rng));
   eel_quarantine_init (&relay->quarantine, relay->quarantine_entries,
                        EEL_RELAY_QUARANTINE_MAX, QUARANTINE_LIFE_US);
@@ -343,7 +342,6 @@
 {
   struct eel_gate_item item;
 
-  eel_relay_update_limit (relay, eel_clock_us ());
   for (;;)
     {
       int64_t now_us = eel_clock_us ();
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -13,7 +13,6 @@
 #include "eelgrasslatch/entry_gate.h"
 #include "eelgrasslatch/fault_rate.h"
 #include "eelgrasslatch/gate.h"
-#include "eelgrasslatch/knee.h"
 #include "eelgrasslatch/rng.h"
 #include "eelgrasslatch/route_table.h"
 #include "eelgrasslatch/run_times.h"
@@ -84,8 +83,6 @@
 #define EEL_RELAY_QUARANTINE_MAX 1024
 #define EEL_RELAY_CLEARED_MAX 64
 
-struct eel_attempt;
-
 struct eel_relay_config
 {
   const struct eel_relay_header_names *header_names;
@@ -201,9 +198,6 @@
   struct eel_gate gate;
   /* Of this node's endpoint. */
   struct eel_run_times run_times;
-  struct eel_knee knee;
-  /* What the last line told that the limit is lowered by. */
-  uint32_t limit_cut;
   struct eel_entry_gate entry_gate;
   /* Teams above their share elsewhere, and this node's part in it. */
   struct eel_crowding crowding;
@@ -311,12 +305,6 @@
                             uint64_t route,
                             int64_t target_us,
                             const struct eel_relay_load *load);
-/* Records the time of a run at this node's endpoint. */
-void eel_relay_record_run (struct eel_relay *relay,
-                           const struct eel_attempt *attempt,
-                           int64_t now_us);
-/* Sets the gate's limit to what was learned of the endpoint. */
-void eel_relay_update_limit (struct eel_relay *relay, int64_t now_us);
 /* Logs which endpoints this node spares, at most once a second. */
 void eel_relay_review_spared (struct eel_relay *relay, int64_t now_us);
 /* Gives back the numbers of service names that are not in use, once there may
--- a/tests/unit/uneven_service.cc
+++ b/tests/unit/uneven_service.cc
@@ -74,7 +74,6 @@
       each.slow_until_s = -1;
       eel_gate_init (&each.gate, slots);
       eel_run_times_init (&each.times);
-      eel_knee_init (&each.knee, each.gate.full_limit);
       each.gate.last_rank = 2;
       if (each.born_s < 0)
         put (i, 0);
@@ -95,7 +94,6 @@
                          at_s,
                          0,
                          0,
-                         0,
                          {},
                          0,
                          at_s > 2 });
@@ -213,7 +211,6 @@
     run_s *= knee_factor;
   at.runs++;
   each.started_s = now_s;
-  each.running = at.gate.running;
   events.push ({ now_s + run_s, END, index, each.at, {}, 0, 0 });
 }
 
@@ -243,20 +240,6 @@
     }
 }
 
-void
-uneven_service::learn_knee (endpoint &at,
-                            const call &each,
-                            double held_us,
-                            double now_s)
-{
-  int64_t usual_us = eel_run_times_usual_us (&at.times, each.kind + 1);
-
-  eel_knee_record (&at.knee, each.running, us (each.started_s),
-                   held_us / (double)usual_us, us (now_s));
-  eel_gate_set_limit (&at.gate, eel_knee_limit (&at.knee),
-                      eel_knee_start_limit (&at.knee, us (now_s)));
-}
-
 void
 uneven_service::end (size_t index, double now_s)
 {
@@ -267,8 +250,6 @@
 
   eel_gate_done (&at.gate, held_us, us (now_s));
   eel_run_times_record (&at.times, each.kind + 1, held_us, us (now_s));
-  if (by == FINISH)
-    learn_knee (at, each, (double)held_us, now_s);
   answer (index, now_s, true);
   for (;;)
     {
--- a/tests/unit/uneven_service.h
+++ b/tests/unit/uneven_service.h
@@ -7,7 +7,6 @@
 extern "C"
 {
 #include "eelgrasslatch/gate.h"
-#include "eelgrasslatch/knee.h"
 #include "eelgrasslatch/place.h"
 #include "eelgrasslatch/run_times.h"
 }
@@ -38,7 +37,6 @@
     double born_s;
     struct eel_gate gate;
     struct eel_run_times times;
-    struct eel_knee knee;
     uint32_t on_way;
     double slow_until_s;
     uint32_t runs;
@@ -50,8 +48,6 @@
     double sent_s;
     uint32_t at;
     double started_s;
-    // Runs at the endpoint when this one began, with it.
-    uint32_t running;
     const char *tried[4];
     uint32_t tried_count;
     bool counted;
@@ -132,8 +128,6 @@
   void answer (size_t index, double now_s, bool ran);
   void start (size_t index, double now_s);
   void reach (size_t index, double now_s);
-  void
-  learn_knee (endpoint &at, const call &each, double held_us, double now_s);
   void end (size_t index, double now_s);
   void receive (const event &event);
   // Moments of slowness begin at random, so that they fill the given share.
