--- a/tests/unit/cap_world_faults.cc
+++ b/tests/unit/cap_world_faults.cc
@@ -130,7 +130,9 @@
     {
       add_node (false);
       after (some_time (), [this, n = nodes.back ().get ()] {
-        start (*n);
+        // A restart may have been the first start.
+        if (!n->up)
+          start (*n);
         n->listed = true;
         list_changed ();
       });
--- a/tests/unit/test_parser_fuzz.cc
+++ b/tests/unit/test_parser_fuzz.cc
@@ -136,6 +136,8 @@
   {
     eel_published_finish (&platform.published);
     eel_service_names_finish (&platform.relay.names);
+    for (uint32_t i = 0; i < platform.domain_count; i++)
+      g_free (platform.domains[i]);
   }
 };
 
--- a/tests/unit/test_relay_retries.cc
+++ b/tests/unit/test_relay_retries.cc
@@ -29,6 +29,11 @@
     m_conn = m_cluster.connect ();
   }
 
+  ~calls_of_runs () override
+  {
+    bufferevent_free (m_conn->bev);
+  }
+
   // Returns how often the call arrives at the endpoint.
   size_t
   call (bool is_first)
