Keep the sanitizer's quarantine out of the soak's bound on memory

The soak sets it; unit tests and fuzzing keep the default, and builds without the sanitizers aren't touched.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -235,6 +235,8 @@
 # Descriptors and kilobytes of memory that a node may have without load.
 IDLE_DESCRIPTORS_MAX=120
 IDLE_MEMORY_MAX_KB=65536
+# With SANITIZE=1: freed memory that the sanitizer holds back isn't kept by the node.
+export ASAN_OPTIONS="${ASAN_OPTIONS:-quarantine_size_mb=1:thread_local_quarantine_size_kb=16}"
 
 # Checks what is left in a node when the load is gone.
 check_idle()
