Move the view of a service's domains out of domain_flow.c

What the reports tell of a service in each domain is flow_view.c now; nothing else changed: DomainFlow and relay_domains pass.

--- a/src/routing/domain_flow.c
+++ b/src/routing/domain_flow.c
@@ -1,12 +1,9 @@
 #include "eelgrasslatch/domain_flow.h"
 
-#include <string.h>
+#include <stddef.h>
 
 #include "routing/flow.h"
 
-/* Age at which a report of an endpoint counts no more; it counts for less the
-   older it is, the mean of its domain for more. */
-#define REPORT_LIFE_US (1500 * EEL_US_PER_MS)
 /* What leaving has to bring at least: estimates differ by as much. */
 #define GAIN_MIN 0.05
 /* Expected wait, as a share of the time left to the target beside the run: up
@@ -29,153 +26,6 @@
 /* Endpoints of other domains that a request is offered to once home has refused
    it. */
 #define TRIED_ABROAD_MAX 3
-/* Use above which an endpoint has no room for requests of other domains. */
-#define FULL_MILLI 950
-
-/* What the reports tell of the sound endpoints of a service in one domain. */
-struct domain_view
-{
-  /* VMs with an endpoint, counted exactly up to 2: an entry that another one
-     on its VM has replaced is listed for a while. */
-  uint32_t vms;
-  uint32_t first_ip;
-  /* Sound endpoints that were not tried. */
-  uint32_t sound;
-  uint32_t fresh;
-  double use_milli_sum;
-  double hold_us_sum;
-  /* Fresh reports of the wait of the request's rank. */
-  uint32_t told;
-  double told_us_sum;
-  /* Free slots that fresh reports tell of. */
-  double room_slots;
-  /* Of the endpoint with the least expected time to an answer: its wait, the
-     time that a request holds a slot, the age of its report.  Wait below 0:
-     there is none. */
-  double wait_us;
-  double hold_us;
-  int64_t age_us;
-};
-
-struct service_view
-{
-  struct domain_view domains[EEL_DOMAINS_MAX];
-  /* Of the request. */
-  uint8_t rank;
-  /* Set in the second pass, once the means are known. */
-  uint8_t has_means;
-  /* Endpoints of other domains that were tried. */
-  uint32_t tried_abroad;
-};
-
-static double
-mean_of (double sum, uint32_t count)
-{
-  return count > 0 ? sum / count : 0;
-}
-
-/* Returns the wait that the endpoint has told of the rank, negative if none. */
-static int64_t
-told_us (const struct eel_place_seen *seen, uint8_t rank)
-{
-  return seen->is_fresh ? eel_place_rank_wait_us (&seen->instance->report, rank)
-                        : -1;
-}
-
-/* Adds the endpoint's expected time to an answer.  A report that ages tells
-   less than the mean of its domain. */
-static void
-add_finish (struct domain_view *domain,
-            const struct eel_place_seen *seen,
-            uint8_t rank)
-{
-  double told = (double)told_us (seen, rank);
-  double told_mean = mean_of (domain->told_us_sum, domain->told);
-  double mean = mean_of (domain->use_milli_sum, domain->fresh);
-  double age = seen->is_fresh ? (double)seen->age_us / REPORT_LIFE_US : 1;
-  double use = domain->fresh > 0 ? mean : seen->use_milli;
-  double hold_us = seen->hold_us > 0
-                       ? (double)seen->hold_us
-                       : mean_of (domain->hold_us_sum, domain->fresh);
-  double wait_us;
-
-  if (age < 1)
-    use = seen->use_milli + age * (mean - seen->use_milli);
-  wait_us = use > 1000 ? hold_us * (use - 1000) / 1000 : 0;
-  if (told >= 0)
-    wait_us = told + age * (told_mean - told);
-  else if (!seen->is_fresh && domain->told > 0)
-    wait_us = told_mean;
-  if (seen->is_fresh && use < FULL_MILLI)
-    domain->room_slots += seen->instance->slots * (FULL_MILLI - use) / 1000;
-  if (domain->wait_us < 0
-      || wait_us + hold_us < domain->wait_us + domain->hold_us)
-    {
-      domain->wait_us = wait_us;
-      domain->hold_us = hold_us;
-      domain->age_us = seen->is_fresh ? seen->age_us : 0;
-    }
-}
-
-static void
-add_vm (struct domain_view *domain, const struct eel_instance *instance)
-{
-  if (domain->vms > 0 && instance->ip == domain->first_ip)
-    return;
-  if (domain->vms == 0)
-    domain->first_ip = instance->ip;
-  domain->vms++;
-}
-
-static void
-add_seen (void *data, const struct eel_place_seen *seen)
-{
-  struct service_view *view = data;
-  struct domain_view *domain;
-
-  if (seen->instance->domain >= EEL_DOMAINS_MAX)
-    return;
-  domain = &view->domains[seen->instance->domain];
-  if (!view->has_means)
-    add_vm (domain, seen->instance);
-  if (seen->tried && seen->instance->domain != EEL_HOME_DOMAIN)
-    view->tried_abroad++;
-  if (seen->tried || seen->obstacle < EEL_LEAVE_SHED)
-    return;
-  if (view->has_means)
-    {
-      add_finish (domain, seen, view->rank);
-      return;
-    }
-  domain->sound++;
-  if (seen->is_fresh)
-    {
-      domain->fresh++;
-      domain->use_milli_sum += seen->use_milli;
-      domain->hold_us_sum += (double)seen->hold_us;
-    }
-  if (told_us (seen, view->rank) >= 0)
-    {
-      domain->told++;
-      domain->told_us_sum += (double)told_us (seen, view->rank);
-    }
-}
-
-static void
-view_service (const struct eel_directory *directory,
-              const struct eel_place_query *query,
-              uint8_t rank,
-              int64_t now_us,
-              struct service_view *view)
-{
-  memset (view, 0, sizeof *view);
-  view->rank = rank;
-  for (uint32_t i = 0; i < EEL_DOMAINS_MAX; i++)
-    view->domains[i].wait_us = -1;
-  eel_place_describe (directory, query, now_us, add_seen, view);
-  view->has_means = 1;
-  eel_place_describe (directory, query, now_us, add_seen, view);
-}
 
 /* Returns the expected share of requests in time, of those that wait so long
    and then hold a slot. */
@@ -207,7 +57,7 @@
    that have refused a request a moment ago. */
 static uint8_t
 draw_room (const struct eel_flow_service *row,
-           const struct service_view *view,
+           const struct eel_flow_view *view,
            int with_full,
            int64_t now_us,
            struct eel_rng *rng)
@@ -217,7 +67,7 @@
 
   for (uint8_t i = EEL_HOME_DOMAIN + 1; i < EEL_DOMAINS_MAX; i++)
     {
-      const struct domain_view *domain = &view->domains[i];
+      const struct eel_flow_domain *domain = &view->domains[i];
 
       if (now_us < row->full_until_us[i] && !with_full)
         continue;
@@ -236,7 +86,7 @@
 static uint8_t
 pick_room (struct eel_domain_flow *flow,
            const struct eel_flow_service *row,
-           const struct service_view *view,
+           const struct eel_flow_view *view,
            const struct eel_flow_request *request,
            int64_t now_us,
            struct eel_rng *rng,
@@ -257,7 +107,7 @@
    or EEL_HOME_DOMAIN; with unknown_only, one without a fresh report. */
 static uint8_t
 pick_untold (struct eel_flow_service *row,
-             const struct service_view *view,
+             const struct eel_flow_view *view,
              int unknown_only,
              int64_t now_us,
              struct eel_rng *rng)
@@ -277,7 +127,7 @@
 
 /* Draws a domain with sound endpoints, or returns EEL_HOME_DOMAIN. */
 static uint8_t
-draw_sound (const struct service_view *view, struct eel_rng *rng)
+draw_sound (const struct eel_flow_view *view, struct eel_rng *rng)
 {
   uint8_t found = EEL_HOME_DOMAIN;
   uint32_t count = 0;
@@ -299,7 +149,7 @@
 static uint8_t
 choose_abroad (struct eel_domain_flow *flow,
                struct eel_flow_service *row,
-               const struct service_view *view,
+               const struct eel_flow_view *view,
                const struct eel_flow_request *request,
                int64_t now_us,
                struct eel_rng *rng)
@@ -323,12 +173,12 @@
 static uint8_t
 choose (struct eel_domain_flow *flow,
         struct eel_flow_service *row,
-        const struct service_view *view,
+        const struct eel_flow_view *view,
         const struct eel_flow_request *request,
         int64_t now_us,
         struct eel_rng *rng)
 {
-  const struct domain_view *home = &view->domains[EEL_HOME_DOMAIN];
+  const struct eel_flow_domain *home = &view->domains[EEL_HOME_DOMAIN];
   int64_t left_us = request->target_us - now_us;
   int is_refused = request->refusals >= HOME_REFUSALS;
   double home_us
@@ -369,10 +219,10 @@
                         struct eel_rng *rng)
 {
   struct eel_flow_service *row;
-  struct service_view view;
+  struct eel_flow_view view;
   uint8_t domain;
 
-  view_service (directory, query, request->rank, now_us, &view);
+  eel_flow_view_service (directory, query, request->rank, now_us, &view);
   if (view.domains[EEL_HOME_DOMAIN].vms < HOME_VMS_MIN
       || (view.domains[EEL_HOME_DOMAIN].sound == 0 && request->refusals == 0))
     return EEL_ANY_DOMAIN;
