Take no answer without a sound status line

Callers saw: an endpoint in trouble sent an answer with the status 000, and the caller got it, as "HTTP/1.1 0 Other" with the endpoint's body and signature.

Cause: http_parser takes any number up to 999 for a status, any number of digits or blanks, and any version. The reader of answers took what the parser had let through, and the relay writes the number that it was given.

Change: the reader follows the status line as its bytes arrive (status_line.h): version 1.x, one space, three digits from 100 to 599. Anything else is a broken answer: the caller gets 502, an idempotent request may go elsewhere, and the connection is not used again. The check stands where every answer of an endpoint or of another node is read, so neither has to know it.

Test: RelayMalformed.StatusLine sends 22 status lines from the entry's own endpoint, from one behind another node, and from a node. An order at work at the same process and the next lookup get their own answers.

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "internal/status_line.h"
+
 static int
 fail (struct eel_reader *reader, enum eel_error error)
 {
@@ -193,6 +195,7 @@
   eel_head_reset (&reader->head);
   reader->head_bytes = 0;
   reader->url_bytes = 0;
+  reader->status_line_bytes = 0;
   reader->in_value = 0;
   reader->started = 0;
   reader->head_done = 0;
@@ -213,8 +216,16 @@
 eel_reader_feed (struct eel_reader *reader, const char *data, size_t bytes)
 {
   http_parser *parser = &reader->parser;
-  size_t consumed = http_parser_execute (parser, &settings, data, bytes);
+  size_t consumed;
 
+  /* The parser takes any number for a status, and any version. */
+  if (parser->type == HTTP_RESPONSE
+      && !eel_status_line_feed (&reader->status_line_bytes, data, bytes))
+    {
+      fail (reader, EEL_ERROR_BAD_REQUEST);
+      return -1;
+    }
+  consumed = http_parser_execute (parser, &settings, data, bytes);
   if (reader->stopped)
     return -1;
   if (reader->ended)
--- a/src/relay/reader.h
+++ b/src/relay/reader.h
@@ -31,6 +31,7 @@
   uint32_t max_head_bytes;
   uint32_t head_bytes;
   uint32_t url_bytes;
+  uint8_t status_line_bytes;
   uint8_t in_value;
   /* Between the first byte of a message and its end. */
   uint8_t started;
--- /dev/null
+++ b/tests/unit/test_relay_malformed.cc
@@ -0,0 +1,212 @@
+#include "relay_cluster.h"
+
+#include <gtest/gtest.h>
+#include <set>
+
+// Answers that are no HTTP response, each sent by an endpoint beside the entry
+// node, by one behind another node, and by another node.
+
+struct malformed_answer
+{
+  const char *name;
+  // {id} stands for the id of the request.
+  std::string text;
+};
+
+// How the answer reaches the entry node.
+enum answer_way
+{
+  OWN_ENDPOINT,
+  ENDPOINT_BEHIND_NODE,
+  PEER
+};
+
+static const char *const way_names[]
+    = { "own endpoint", "endpoint behind a node", "peer" };
+
+static std::string
+with_id (std::string text, const std::string &request)
+{
+  size_t at = text.find ("{id}");
+
+  return at == std::string::npos
+             ? text
+             : text.replace (at, 4, field_of (request, "Req-Id"));
+}
+
+static bool
+is_for (const std::string &request, const char *target)
+{
+  return request.find (std::string (" ") + target + " ") != std::string::npos;
+}
+
+// A node whose caller has an order at work while another one gets a malformed
+// answer.
+struct malformed_world
+{
+  relay_cluster cluster;
+  raw_upstream peer;
+  raw_upstream *upstream;
+  raw_conn *held_conn = nullptr;
+  std::set<raw_conn *> accepted;
+  std::string held_request;
+  std::string malformed;
+
+  explicit malformed_world (enum answer_way way)
+      : cluster (way == ENDPOINT_BEHIND_NODE ? 2 : 1)
+  {
+    upstream = way == PEER ? &peer : &cluster.nodes.back ()->upstream;
+    if (way == PEER)
+      list_peer ();
+    else
+      cluster.list_upstream (cluster.nodes.size () - 1);
+    cluster.set_routes ();
+    upstream->answer
+        = [this] (raw_upstream &, raw_conn &conn, const std::string &request) {
+            answer (conn, request);
+          };
+  }
+
+  // A node at 127.0.0.2 that is played by the test.
+  void
+  list_peer ()
+  {
+    struct eel_relay *relay = &cluster.nodes[0]->relay;
+    struct eel_instance instance = {};
+
+    snprintf (instance.id, sizeof instance.id, "up-2");
+    instance.service = relay->service;
+    instance.revision = 1;
+    instance.slots = 10;
+    inet_pton (AF_INET, "127.0.0.2", &instance.ip);
+    peer.open (cluster.base, "127.0.0.2", ntohs (relay->config.peers.sin_port));
+    eel_directory_put (&relay->directory, &instance, eel_clock_us ());
+  }
+
+  void
+  answer (raw_conn &conn, const std::string &request)
+  {
+    accepted.erase (&conn);
+    if (is_for (request, "/once/held"))
+      {
+        held_conn = &conn;
+        held_request = request;
+      }
+    else if (is_for (request, "/once/malformed"))
+      raw_upstream::write (conn, with_id (malformed, request));
+    else
+      raw_upstream::write (conn, answer_text (request, "ok"));
+  }
+
+  // A peer takes a request before it gets its body.
+  void
+  accept_requests ()
+  {
+    for (auto &conn : peer.conns)
+      if (!conn->closed && conn->in.find ("\r\n\r\n") != std::string::npos
+          && accepted.insert (conn.get ()).second)
+        raw_upstream::write (*conn, "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+
+  bool
+  run_until (const std::function<bool ()> &done)
+  {
+    return cluster.run_until ([&] {
+      accept_requests ();
+      return done ();
+    });
+  }
+
+  std::unique_ptr<raw_conn>
+  send (const std::string &request)
+  {
+    auto caller = cluster.connect ();
+
+    raw_upstream::write (*caller, request);
+    return caller;
+  }
+
+  // Returns the answer, or what has come by the end of the connection.
+  std::string
+  finish (std::unique_ptr<raw_conn> caller)
+  {
+    run_until (
+        [&] { return caller->closed || request_bytes (caller->in) > 0; });
+    bufferevent_free (caller->bev);
+    return caller->in;
+  }
+
+  // Failures of a peer don't keep the next request from it.
+  void
+  forget_failures ()
+  {
+    for (auto &node : cluster.nodes)
+      for (uint32_t i = 0; i < node->relay.directory.count; i++)
+        node->relay.directory.instances[i].avoid_until_us = 0;
+  }
+};
+
+// The caller whose answer is malformed gets 502; an order at work meanwhile and
+// the next lookup get the endpoint's answers.
+static void
+expect_502_only (const malformed_answer &answer, enum answer_way way)
+{
+  malformed_world world (way);
+  std::unique_ptr<raw_conn> held;
+  std::string got;
+
+  SCOPED_TRACE (std::string (answer.name) + ", " + way_names[way]);
+  held = world.send (request_text ("POST", "/once/held", "h1"));
+  ASSERT_TRUE (world.run_until ([&] { return world.held_conn != nullptr; }));
+  world.malformed = answer.text;
+  got = world.finish (
+      world.send (request_text ("POST", "/once/malformed", "m1")));
+  EXPECT_EQ (status_of (got), "502") << got;
+  EXPECT_EQ (field_of (got, "Proof"), "");
+  raw_upstream::write (*world.held_conn,
+                       answer_text (world.held_request, "held"));
+  EXPECT_EQ (body_of (world.finish (std::move (held))), "held");
+  world.forget_failures ();
+  got = world.finish (world.send (request_text ("GET", "/safe/next", "n1")));
+  EXPECT_EQ (body_of (got), "ok") << got;
+}
+
+static void
+expect_502_only_on_all_ways (const std::vector<malformed_answer> &answers)
+{
+  for (const malformed_answer &answer : answers)
+    for (enum answer_way way : { OWN_ENDPOINT, ENDPOINT_BEHIND_NODE, PEER })
+      expect_502_only (answer, way);
+}
+
+static const std::string rest
+    = "\r\nReq-Id: {id}\r\nProof: p\r\nContent-Length: 2\r\n\r\nab";
+
+// Guards against a status that is none: callers got 000 as an answer.
+TEST (RelayMalformed, StatusLine)
+{
+  expect_502_only_on_all_ways ({
+      { "000", "HTTP/1.1 000 Trouble" + rest },
+      { "below 100", "HTTP/1.1 099 Low" + rest },
+      { "above 599", "HTTP/1.1 600 High" + rest },
+      { "highest", "HTTP/1.1 999 High" + rest },
+      { "one digit", "HTTP/1.1 2 Short" + rest },
+      { "two digits", "HTTP/1.1 20 Short" + rest },
+      { "four digits", "HTTP/1.1 0200 Long" + rest },
+      { "four digits above 999", "HTTP/1.1 2000 Long" + rest },
+      { "sign", "HTTP/1.1 +200 Sign" + rest },
+      { "negative", "HTTP/1.1 -200 Sign" + rest },
+      { "letters", "HTTP/1.1 2xx Letters" + rest },
+      { "letters behind", "HTTP/1.1 200OK" + rest },
+      { "none", "HTTP/1.1 " + rest },
+      { "nothing behind the version", "HTTP/1.1" + rest },
+      { "two blanks", "HTTP/1.1  200 OK" + rest },
+      { "tab", "HTTP/1.1\t200 OK" + rest },
+      { "NUL", std::string ("HTTP/1.1 2\0000 OK", 15) + rest },
+      { "version 2", "HTTP/2.0 200 OK" + rest },
+      { "version 0.9", "HTTP/0.9 200 OK" + rest },
+      { "version of two digits", "HTTP/1.10 200 OK" + rest },
+      { "lower case", "http/1.1 200 OK" + rest },
+      { "another protocol", "ICY 200 OK" + rest },
+  });
+}
