Take no head with a blank in the name of a field

Callers could see, as reported from systems of this kind: an answer in whose head a field's name holds a blank. They got it as an answer with that line passed on, or with a body framed by "Content-Length :" or "Transfer-Encoding :" that another reader would delimit otherwise. "Req-Id :" hid the id: that request waited until its time limit.

Cause: Debian builds http_parser in its lenient mode, which takes blanks anywhere in a name and matches "content-length " like the name without them. The relay compares names exactly, so such a field was framing for the parser and an ordinary field, to be forwarded, for the relay.

Change: the reader refuses a name with a blank. Control bytes, separators, 8 bits and empty names the parser refuses already; the test keeps them. The reader serves requests too: a caller's "Content-Length :" reached the endpoint beside the true length, which allows smuggling; it gets 400 now.

Tests: RelayMalformed.FieldName sends 24 heads on three ways; before the change 12 of them reached the caller or its time limit (all those with a blank), the others got 502. RelayRefusedRequests, BlankInAName: 504 after the time limit before, 400 now.

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -52,6 +52,10 @@
   struct eel_reader *reader = parser->data;
   struct eel_head *head = &reader->head;
 
+  /* The parser refuses all that is no token (RFC 9110, section 5.6.2), except
+     blanks. */
+  if (memchr (data, ' ', bytes) != NULL)
+    return fail (reader, EEL_ERROR_HEADER_INVALID);
   /* Trailers are read and discarded. */
   if (reader->head_done)
     return 0;
--- a/tests/unit/test_relay.cc
+++ b/tests/unit/test_relay.cc
@@ -106,6 +106,10 @@
                              + "Content-Length: 1\r\nContent-Length: "
                                "2\r\n\r\nab",
                          "400" },
+        refused_request{ "BlankInAName",
+                         "POST /safe/a HTTP/1.1\r\n" + host
+                             + "Content-Length : 2\r\n\r\nab",
+                         "400" },
         refused_request{ "TwoHosts",
                          "GET /safe/a HTTP/1.1\r\n" + host + host + "\r\n",
                          "400" },
--- a/tests/unit/test_relay_malformed.cc
+++ b/tests/unit/test_relay_malformed.cc
@@ -210,3 +210,44 @@
       { "another protocol", "ICY 200 OK" + rest },
   });
 }
+
+static const std::string head
+    = "HTTP/1.1 200 OK\r\nReq-Id: {id}\r\nProof: p\r\n";
+
+// Guards against a name that holds a byte which no name has: callers got the
+// line passed on, or a body that only this node took for one.
+TEST (RelayMalformed, FieldName)
+{
+  const std::string body = "Content-Length: 2\r\n\r\nab";
+  const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+
+  expect_502_only_on_all_ways ({
+      { "blank within", head + "X Y: 1\r\n" + body },
+      { "blank before the colon", head + "X : 1\r\n" + body },
+      { "blank before the name",
+        "HTTP/1.1 200 OK\r\n X: 1\r\n" + head.substr (17) + body },
+      { "nothing but a blank",
+        "HTTP/1.1 200 OK\r\n : 1\r\n" + head.substr (17) + body },
+      { "tab within", head + "X\tY: 1\r\n" + body },
+      { "tab before the colon", head + "X\t: 1\r\n" + body },
+      { "control byte", head + "X\1Y: 1\r\n" + body },
+      { "NUL", head + std::string ("X\0Y: 1\r\n", 8) + body },
+      { "escape", head + "\33[31m: 1\r\n" + body },
+      { "delete", head + "X\177: 1\r\n" + body },
+      { "8 bits", head + "X\200: 1\r\n" + body },
+      { "CR", head + "X\rY: 1\r\n" + body },
+      { "separator", head + "X(Y): 1\r\n" + body },
+      { "quote", head + "\"X\": 1\r\n" + body },
+      { "none", head + ": 1\r\n" + body },
+      { "no colon", head + "X\r\n" + body },
+      { "length", head + "Content-Length : 2\r\n\r\nab" },
+      { "length of two words", head + "Content Length: 1\r\n" + body },
+      { "coding", head + "Transfer-Encoding : chunked\r\n" + chunks },
+      { "coding of two words", head + "Transfer Encoding: chunked\r\n" + body },
+      { "id", "HTTP/1.1 200 OK\r\nReq-Id : {id}\r\nProof: p\r\n" + body },
+      { "proof", "HTTP/1.1 200 OK\r\nReq-Id: {id}\r\nProof : p\r\n" + body },
+      { "field between nodes", head + "Eel-Refused : leaving\r\n" + body },
+      { "interim answer",
+        "HTTP/1.1 100 Continue\r\nX : 1\r\n\r\n" + head + body },
+  });
+}
