Bound the time that a Keep-Alive field states

Found while looking for what ended the process that read a spoilt head. A process built with the sanitizers (make SANITIZE=1) ended, and with it the requests that it served, when an endpoint's answer stated a Keep-Alive time of 19 digits or more; one of the other builds took the time for a negative one and closed the connection.

Cause: the seconds were read by strtol, which saturates at the greatest number, and multiplied by a million: a signed overflow, which -fno-sanitize-recover makes the end of the process. A field without a number counted as 0 s.

Change: the number is bounded before it is multiplied; a field without one states nothing.

Test: RelayMalformed.KeepAliveOfAnyNumber failed before for six of eight values (a second connection), and ended the test program under the sanitizers.

--- a/src/relay/link.c
+++ b/src/relay/link.c
@@ -110,23 +110,28 @@
     ops->fail (owner, sent, reason);
 }
 
-/* Reads "timeout=N" of a Keep-Alive field. */
+/* Reads "timeout=N" of a Keep-Alive field; without a number it says nothing. */
 static void
 read_idle_limit (struct eel_link *link, const struct eel_head *head)
 {
   const char *value = eel_head_get (head, "keep-alive");
   const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
+  unsigned long long timeout_s;
+  int64_t limit_us;
 
   link->idle_limit_us = link->pool->max_idle_us;
-  if (timeout != NULL)
-    {
-      /* One second less, so that a request arrives in time. */
-      int64_t limit_us = (strtol (timeout + strlen ("timeout="), NULL, 10) - 1)
-                         * EEL_US_PER_S;
-
-      if (limit_us < link->idle_limit_us)
-        link->idle_limit_us = limit_us;
-    }
+  if (timeout == NULL)
+    return;
+  timeout += strlen ("timeout=");
+  if (*timeout < '0' || *timeout > '9')
+    return;
+  timeout_s = strtoull (timeout, NULL, 10);
+  if (timeout_s > INT32_MAX)
+    timeout_s = INT32_MAX;
+  /* One second less, so that a request arrives in time. */
+  limit_us = ((int64_t)timeout_s - 1) * EEL_US_PER_S;
+  if (limit_us < link->idle_limit_us)
+    link->idle_limit_us = limit_us;
 }
 
 static int
--- a/tests/unit/test_relay_malformed.cc
+++ b/tests/unit/test_relay_malformed.cc
@@ -251,3 +251,30 @@
         "HTTP/1.1 100 Continue\r\nX : 1\r\n\r\n" + head + body },
   });
 }
+
+// Guards against a number in a head from which a time overflows: the process
+// ended where the compiler checks that.  What states no time ends no
+// connection.
+TEST (RelayMalformed, KeepAliveOfAnyNumber)
+{
+  for (const char *timeout :
+       { "5", "2147483648", "9223372036854775807", "99999999999999999999", "-1",
+         "-9223372036854775808", "", "x" })
+    {
+      malformed_world world (OWN_ENDPOINT);
+
+      SCOPED_TRACE (timeout);
+      world.upstream->answer = [timeout] (raw_upstream &, raw_conn &conn,
+                                          const std::string &request) {
+        raw_upstream::write (conn,
+                             answer_text (request, "ok", "200 OK",
+                                          std::string ("Keep-Alive: timeout=")
+                                              + timeout + "\r\n"));
+      };
+      for (const char *id : { "k1", "k2" })
+        EXPECT_EQ (status_of (world.finish (
+                       world.send (request_text ("POST", "/once/k", id)))),
+                   "200");
+      EXPECT_EQ (world.upstream->conns.size (), 1u);
+    }
+}
