Take no message in a transfer coding other than chunked

Callers would have seen the bytes of a coding, or of chunks, as the body of a success: an answer with "Transfer-Encoding: gzip, chunked" was passed on without that field and with the coded bytes, one with "xchunked", "chunked, chunked" or nothing as a coding with all that came until the close, chunk sizes included.

Cause: the reader took from the parser whether the last coding is chunked, and forwarded the rest as it came. The field applies to one connection (RFC 9112, section 6.1), so nothing told the caller of the coding.

Change: no coding, or chunked once and alone; anything else is a broken answer, and a bad request where a caller sends it.

Tests: RelayMalformed.TransferCoding: nine of ten answers reached the caller (200) or its time limit (504, where the endpoint kept the connection open) on each of three ways, 502 now. RelayRefusedRequests, AnotherCoding: was passed on and ran, 400 now.

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -1,6 +1,7 @@
 #include "relay/reader.h"
 
 #include <string.h>
+#include <strings.h>
 
 #include "internal/status_line.h"
 
@@ -94,6 +95,23 @@
   return append (reader, data, bytes);
 }
 
+/* True for no transfer coding, or for chunked alone: any other would have to be
+   decoded, and the parser takes some for chunked or for none. */
+static int
+coding_is_known (const struct eel_reader *reader)
+{
+  const struct eel_head *head = &reader->head;
+  const char *coding = eel_head_get (head, "transfer-encoding");
+  size_t bytes = strlen ("chunked");
+
+  if (coding == NULL)
+    return 1;
+  return (reader->parser.flags & F_CHUNKED) != 0
+         && strncasecmp (coding, "chunked", bytes) == 0
+         && coding[bytes + strspn (coding + bytes, " \t")] == 0
+         && eel_head_get_nth (head, "transfer-encoding", 1) == NULL;
+}
+
 /* Takes the framing from the parser, which has checked it. */
 static void
 read_framing (struct eel_reader *reader)
@@ -126,6 +144,8 @@
   if (parser->type == HTTP_REQUEST
       && (parser->method == HTTP_CONNECT || reader->url_bytes == 0))
     return fail (reader, EEL_ERROR_BAD_REQUEST);
+  if (!coding_is_known (reader))
+    return fail (reader, EEL_ERROR_BAD_REQUEST);
   reader->head_done = 1;
   head->status = (uint16_t)parser->status_code;
   head->method = parser->type == HTTP_REQUEST
--- a/tests/unit/test_relay.cc
+++ b/tests/unit/test_relay.cc
@@ -101,6 +101,11 @@
                              + "Content-Length: 4\r\nTransfer-Encoding: "
                                "chunked\r\n\r\n0\r\n\r\n",
                          "400" },
+        refused_request{ "AnotherCoding",
+                         "POST /safe/a HTTP/1.1\r\n" + host
+                             + "Transfer-Encoding: gzip, chunked\r\n\r\n"
+                               "0\r\n\r\n",
+                         "400" },
         refused_request{ "TwoLengths",
                          "POST /safe/a HTTP/1.1\r\n" + host
                              + "Content-Length: 1\r\nContent-Length: "
--- a/tests/unit/test_relay_malformed.cc
+++ b/tests/unit/test_relay_malformed.cc
@@ -278,3 +278,35 @@
       EXPECT_EQ (world.upstream->conns.size (), 1u);
     }
 }
+
+// Guards against a body in a coding that its receiver is not told of: the field
+// applies to one connection and is not passed on.
+TEST (RelayMalformed, TransferCoding)
+{
+  const std::string chunks = "\r\n2\r\nab\r\n0\r\n\r\n";
+
+  expect_502_only_on_all_ways ({
+      { "gzip",
+        head + "Transfer-Encoding: gzip\r\nConnection: close\r\n" + chunks },
+      { "gzip in chunks",
+        head + "Transfer-Encoding: gzip, chunked\r\n" + chunks },
+      { "gzip in chunks, two fields",
+        head + "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"
+            + chunks },
+      { "chunks in gzip",
+        head + "Transfer-Encoding: chunked, gzip\r\n" + chunks },
+      { "twice in chunks",
+        head + "Transfer-Encoding: chunked, chunked\r\n" + chunks },
+      { "two fields", head
+                          + "Transfer-Encoding: chunked\r\n"
+                            "Transfer-Encoding: chunked\r\n"
+                          + chunks },
+      { "another word", head + "Transfer-Encoding: xchunked\r\n" + chunks },
+      { "nothing", head + "Transfer-Encoding:\r\n" + chunks },
+      { "identity", head + "Transfer-Encoding: identity\r\n" + chunks },
+      { "length too", head
+                          + "Content-Length: 2\r\nTransfer-Encoding: "
+                            "chunked\r\n"
+                          + chunks },
+  });
+}
