Take no line or chunk that ends with other bytes than CR LF

Callers would have got a success with a body that is not the endpoint's: a chunk of four bytes whose size says two arrived as two, and where a byte stood in the place of an LF it was lost, at the end of the status line with the name of the next field.

Cause: in the lenient mode in which Debian builds http_parser, it checks the LF behind a field's value only. It takes any byte behind the CR of a status line, of a head, of a chunk's size and of a message, and any two bytes behind the data of a chunk.

Change: the reader checks the line ends itself (line_ends.h): those of a head before the parser sees it, since a node passes a head on at once; those between the parts of a body as the parser delivers them. LF alone still ends a line of a head.

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -166,6 +166,9 @@
 {
   struct eel_reader *reader = parser->data;
 
+  if (!eel_line_ends_skip_body (&reader->line_ends, data, bytes,
+                                (parser->flags & F_CHUNKED) != 0))
+    return fail (reader, EEL_ERROR_BAD_REQUEST);
   reader->ops->body (reader->owner, data, bytes);
   return reader->stopped ? -1 : 0;
 }
@@ -220,6 +223,7 @@
   reader->head_bytes = 0;
   reader->url_bytes = 0;
   reader->status_line_bytes = 0;
+  memset (&reader->line_ends, 0, sizeof reader->line_ends);
   reader->in_value = 0;
   reader->started = 0;
   reader->head_done = 0;
@@ -243,15 +247,15 @@
   size_t consumed;
 
   /* The parser takes any number for a status, and any version. */
-  if (parser->type == HTTP_RESPONSE
-      && !eel_status_line_feed (&reader->status_line_bytes, data, bytes))
-    {
-      fail (reader, EEL_ERROR_BAD_REQUEST);
-      return -1;
-    }
+  if ((parser->type == HTTP_RESPONSE
+       && !eel_status_line_feed (&reader->status_line_bytes, data, bytes))
+      || !eel_line_ends_begin_piece (&reader->line_ends, data, bytes))
+    return fail (reader, EEL_ERROR_BAD_REQUEST);
   consumed = http_parser_execute (parser, &settings, data, bytes);
   if (reader->stopped)
     return -1;
+  if (!eel_line_ends_check (&reader->line_ends, data + consumed))
+    return fail (reader, EEL_ERROR_BAD_REQUEST);
   if (reader->ended)
     {
       finish_message (reader);
--- a/src/relay/reader.h
+++ b/src/relay/reader.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #include "eelgrasslatch/error.h"
+#include "relay/line_ends.h"
 #include "relay/message.h"
 
 /*
@@ -32,6 +33,7 @@
   uint32_t head_bytes;
   uint32_t url_bytes;
   uint8_t status_line_bytes;
+  struct eel_line_ends line_ends;
   uint8_t in_value;
   /* Between the first byte of a message and its end. */
   uint8_t started;
--- a/tests/unit/test_relay.cc
+++ b/tests/unit/test_relay.cc
@@ -106,6 +106,10 @@
                              + "Transfer-Encoding: gzip, chunked\r\n\r\n"
                                "0\r\n\r\n",
                          "400" },
+        refused_request{ "CrWithoutLf",
+                         "POST /safe/a HTTP/1.1\r\n" + host
+                             + "Content-Length: 2\r\n\rXab",
+                         "400" },
         refused_request{ "TwoLengths",
                          "POST /safe/a HTTP/1.1\r\n" + host
                              + "Content-Length: 1\r\nContent-Length: "
--- a/tests/unit/test_relay_malformed.cc
+++ b/tests/unit/test_relay_malformed.cc
@@ -310,3 +310,58 @@
                           + chunks },
   });
 }
+
+// Guards against a line or a chunk that ends with other bytes than CR LF: the
+// byte in their place was lost, and a chunk could be longer than its size.
+TEST (RelayMalformed, LineEnd)
+{
+  const std::string body = "Content-Length: 2\r\n\r\nab";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n";
+
+  expect_502_only_on_all_ways ({
+      { "status line", "HTTP/1.1 200 OK\rX" + head.substr (17) + body },
+      { "field", head + "X: 1\rY" + body },
+      { "head", head + "Content-Length: 2\r\n\rXab" },
+      { "head of an answer without a body", head + "Content-Length: 0\r\n\rX" },
+      { "head before chunks", chunked + "\rX2\r\nab\r\n0\r\n\r\n" },
+      { "interim head", "HTTP/1.1 100 Continue\r\n\rX" + head + body },
+      { "size of a chunk", chunked + "\r\n2\rXab\r\n0\r\n\r\n" },
+      { "extension of a chunk", chunked + "\r\n2;x=y\rXab\r\n0\r\n\r\n" },
+      { "chunk, no CR", chunked + "\r\n2\r\nabX\n0\r\n\r\n" },
+      { "chunk, no LF", chunked + "\r\n2\r\nab\rX0\r\n\r\n" },
+      { "chunk longer than its size", chunked + "\r\n2\r\nabcd0\r\n\r\n" },
+      { "last chunk", chunked + "\r\n2\r\nab\r\n0\rX\r\n" },
+      { "trailer", chunked + "\r\n2\r\nab\r\n0\r\nT: 1\rX\r\n" },
+      { "message", chunked + "\r\n2\r\nab\r\n0\r\n\rX" },
+  });
+}
+
+// What the checks above let through arrives whole, however it is cut.
+TEST (RelayMalformed, SoundAnswerInAnyPieces)
+{
+  const std::string sound
+      = "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + head
+        + "Transfer-Encoding: chunked \r\n\r\n2\r\nab\r\n1;x=\"y\"\r\nc\r\n"
+          "0\r\nT: 1\r\n\r\n";
+
+  for (enum answer_way way : { OWN_ENDPOINT, ENDPOINT_BEHIND_NODE })
+    for (size_t cut = 1; cut < sound.size (); cut++)
+      {
+        malformed_world world (way);
+        raw_conn *conn = nullptr;
+        std::string request;
+        std::unique_ptr<raw_conn> caller;
+
+        world.upstream->answer = [&] (raw_upstream &, raw_conn &answered,
+                                      const std::string &text) {
+          conn = &answered;
+          request = text;
+        };
+        caller = world.send (request_text ("POST", "/once/x", "p100"));
+        ASSERT_TRUE (world.run_until ([&] { return conn != nullptr; }));
+        raw_upstream::write (*conn, with_id (sound, request).substr (0, cut));
+        world.cluster.run_ms (1);
+        raw_upstream::write (*conn, with_id (sound, request).substr (cut));
+        EXPECT_EQ (body_of (world.finish (std::move (caller))), "abc") << cut;
+      }
+}
