End an answer that has no body with its head

Callers would have got bytes that are no answer, on a connection with no request waiting: a 204 with a length or chunks was passed on with the length and the bytes behind it. A 304 that states the length of what it stands for, as it may, waited for bytes that never come, until the time limit; an interim answer with a length took the first bytes of the answer behind it.

Cause: http_parser goes by the length or the chunks whatever the status, and the reader by http_parser. An answer 1xx, 204 or 304 ends with its head (RFC 9112, section 6.3).

Change: the reader ends such an answer with its head, without framing fields. Bytes behind it are bytes behind a complete answer: the connection is closed.

Test: RelayMalformed.NoBodyBehindTheHead, five answers on three ways, followed by a lookup on the same connection: each failed before (stray bytes, 504 or 502).

--- a/src/relay/reader.c
+++ b/src/relay/reader.c
@@ -112,6 +112,16 @@
          && eel_head_get_nth (head, "transfer-encoding", 1) == NULL;
 }
 
+/* Such an answer ends with its head, whatever length that states (RFC 9112,
+   section 6.3); the parser goes by the length. */
+static int
+ends_with_head (const http_parser *parser)
+{
+  return parser->type == HTTP_RESPONSE
+         && (parser->status_code < 200 || parser->status_code == 204
+             || parser->status_code == 304);
+}
+
 /* Takes the framing from the parser, which has checked it. */
 static void
 read_framing (struct eel_reader *reader)
@@ -119,15 +129,16 @@
   http_parser *parser = &reader->parser;
   struct eel_head *head = &reader->head;
 
-  if ((parser->flags & F_CHUNKED) != 0)
+  if (ends_with_head (parser))
+    head->framing = EEL_FRAMING_NONE;
+  else if ((parser->flags & F_CHUNKED) != 0)
     head->framing = EEL_FRAMING_CHUNKED;
   else if ((parser->flags & F_CONTENTLENGTH) != 0)
     {
       head->framing = EEL_FRAMING_LENGTH;
       head->length_bytes = parser->content_length;
     }
-  else if (parser->type == HTTP_RESPONSE && parser->status_code >= 200
-           && parser->status_code != 204 && parser->status_code != 304)
+  else if (parser->type == HTTP_RESPONSE)
     head->framing = EEL_FRAMING_CLOSE;
   head->keep_alive = (uint8_t)(http_should_keep_alive (parser) != 0);
 }
@@ -158,7 +169,7 @@
   skip = reader->ops->head (reader->owner, head);
   if (reader->stopped)
     return -1;
-  return skip ? 1 : 0;
+  return skip || ends_with_head (parser) ? 1 : 0;
 }
 
 static int
--- a/tests/unit/test_relay_malformed.cc
+++ b/tests/unit/test_relay_malformed.cc
@@ -365,3 +365,53 @@
         EXPECT_EQ (body_of (world.finish (std::move (caller))), "abc") << cut;
       }
 }
+
+// Guards against a body behind a status that has none: its bytes were passed on
+// behind the answer, where the caller expects the next one.
+TEST (RelayMalformed, NoBodyBehindTheHead)
+{
+  const std::string fields = "Req-Id: {id}\r\nProof: p\r\n";
+  const struct
+  {
+    const char *name;
+    std::string text;
+    const char *status;
+  } cases[] = {
+    { "204 with a length",
+      "HTTP/1.1 204 None\r\n" + fields + "Content-Length: 2\r\n\r\nab", "204" },
+    { "204 with a length, bytes missing",
+      "HTTP/1.1 204 None\r\n" + fields + "Content-Length: 2\r\n\r\n", "204" },
+    { "204 in chunks",
+      "HTTP/1.1 204 None\r\n" + fields
+          + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n",
+      "204" },
+    { "304 with a length",
+      "HTTP/1.1 304 Same\r\n" + fields + "Content-Length: 2\r\n\r\n", "304" },
+    { "interim answer with a length",
+      "HTTP/1.1 103 Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 204 None\r\n"
+          + fields + "\r\n",
+      "204" },
+  };
+
+  for (const auto &each : cases)
+    for (enum answer_way way : { OWN_ENDPOINT, ENDPOINT_BEHIND_NODE, PEER })
+      {
+        malformed_world world (way);
+        auto caller = world.cluster.connect ();
+
+        SCOPED_TRACE (std::string (each.name) + ", " + way_names[way]);
+        world.malformed = each.text;
+        raw_upstream::write (*caller,
+                             request_text ("POST", "/once/malformed", "m1"));
+        world.run_until ([&] { return request_bytes (caller->in) > 0; });
+        EXPECT_EQ (status_of (caller->in), each.status);
+        EXPECT_EQ (field_of (caller->in, "Content-Length"), "");
+        EXPECT_EQ (field_of (caller->in, "Transfer-Encoding"), "");
+        world.cluster.run_ms (5);
+        EXPECT_EQ (body_of (caller->in), "");
+        caller->in.clear ();
+        world.forget_failures ();
+        raw_upstream::write (*caller, request_text ("GET", "/safe/next", "n1"));
+        EXPECT_EQ (body_of (world.finish (std::move (caller))), "ok");
+      }
+}
