Check the answers that eelgrasslatchd reads with evhttp byte by byte

Callers would have got as an answer what is none: "HTTP/1.1 0200", "+200", "200OK", a status that is 200 modulo 2^32, version 0.9, and heads whose fields' names hold a blank, a tab, a control byte or 8 bits, or nothing. The front leaves out such a line, so the caller saw a success without it. "Content-Length : 3" waited until the deadline and ended as an unknown outcome. Status 000 was a broken answer already.

Cause: evhttp reads the status by atoi, checks no byte of a name or a value but CR and LF, and sizes of chunks by strtoll, which takes a sign.

Change: the bytes of an answer go through the reader of the relay too, as they arrive (upstream_check.c). What it doesn't take is a broken run: the outcome that a cut answer has.

--- a/Makefile
+++ b/Makefile
@@ -132,7 +132,7 @@
 link = $(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) \
 	$(LIB_A) $(PKG_LIBS)
 
-$(BUILD)/eelgrasslatchd: $(call obj,$(DAEMON_SRC)) $(APP_A) $(LIB_A)
+$(BUILD)/eelgrasslatchd: $(call obj,$(DAEMON_SRC)) $(APP_A) $(RELAY_A) $(LIB_A)
 	@echo LD $@
 	@$(link)
 
--- a/src/http/upstream.c
+++ b/src/http/upstream.c
@@ -153,6 +153,7 @@
         evhttp_connection_free (conn->evhttp);
       if (conn->timeout != NULL)
         event_free (conn->timeout);
+      eel_reader_finish (&conn->check);
     }
   if (upstream->reaper != NULL)
     event_free (upstream->reaper);
--- a/src/http/upstream.h
+++ b/src/http/upstream.h
@@ -1,11 +1,13 @@
 #ifndef EEL_HTTP_UPSTREAM_H
 #define EEL_HTTP_UPSTREAM_H
 
+#include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <stdint.h>
 
 #include "internal/tasks.h"
+#include "relay/reader.h"
 
 #define UPSTREAM_HEALTH_INTERVAL_MS 1000
 #define UPSTREAM_HEALTH_TIMEOUT_S 2
@@ -35,6 +37,11 @@
    * it.
    */
   uint8_t close_pending;
+  /* Reads the answer of the call beside evhttp. */
+  struct eel_reader check;
+  uint8_t check_is_interim;
+  uint8_t check_done;
+  uint8_t is_malformed;
 };
 
 struct upstream_metrics
@@ -90,6 +97,11 @@
 struct eel_answer *upstream_answer_read (struct upstream_conn *conn,
                                          struct evhttp_request *request,
                                          enum eel_run_result *result);
+/* upstream_check.c */
+void upstream_check_begin (struct upstream_conn *conn);
+void upstream_check_input (struct evbuffer *buffer,
+                           const struct evbuffer_cb_info *info,
+                           void *data);
 /* upstream_health.c */
 int upstream_health_start (struct eel_upstream *upstream);
 void upstream_health_stop (struct eel_upstream *upstream);
--- a/src/http/upstream_conn.c
+++ b/src/http/upstream_conn.c
@@ -52,6 +52,7 @@
   evhttp_connection_set_max_body_size (conn->evhttp, EEL_BODY_BYTES_MAX);
   bev = evhttp_connection_get_bufferevent (conn->evhttp);
   evbuffer_add_cb (bufferevent_get_output (bev), output_changed, conn);
+  evbuffer_add_cb (bufferevent_get_input (bev), upstream_check_input, conn);
   upstream->open_count++;
   eel_metric_add (upstream->metrics.opened, 1);
   eel_metric_set (upstream->metrics.connections, upstream->open_count);
--- a/src/http/upstream_run.c
+++ b/src/http/upstream_run.c
@@ -83,7 +83,8 @@
 
   if (conn->call == NULL)
     return;
-  if (request != NULL && evhttp_request_get_response_code (request) != 0)
+  if (request != NULL && evhttp_request_get_response_code (request) != 0
+      && !conn->is_malformed)
     answer = upstream_answer_read (conn, request, &result);
   /* Bytes after the answer would be read as the next request's answer. */
   if (answer == NULL || evbuffer_get_length (input) > 0)
@@ -189,6 +190,7 @@
   conn->call->arrived_us = now_us;
   conn->sent_bytes = 0;
   conn->expired = 0;
+  upstream_check_begin (conn);
   upstream->in_flight++;
   eel_metric_set (upstream->metrics.in_flight, upstream->in_flight);
   start_timeout (conn, now_us);
