Test malformed answers of the store

The reader of the store handles these already: evhttp refuses the head, or the document doesn't parse, and the call is made again.

--- a/tests/unit/test_item_reader.cc
+++ b/tests/unit/test_item_reader.cc
@@ -101,3 +101,41 @@
 INSTANTIATE_TEST_SUITE_P (LateMs,
                           copied_answer_test,
                           ::testing::Values (0, 705));
+
+// Guards against an answer of the store that ends the process, or that counts
+// as news though it is none.
+TEST_F (item_reader_test, MalformedAnswersAreAskedForAgain)
+{
+  const std::string rest
+      = "\r\nContent-Length: " + std::to_string (strlen (nothing_new))
+        + "\r\n\r\n" + nothing_new;
+  const std::string malformed[] = {
+    "HTTP/1.1 000 No" + rest,
+    "HTTP/1.1" + rest,
+    "HTTP/2.0 200 OK" + rest,
+    "HTTP/1.1 200 OK\r\nno colon" + rest,
+    std::string ("HTTP/1.1 200 OK\r\nX\0: 1", 23) + rest,
+    "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+    "HTTP/1.1 200 OK\r\n" + std::string (70000, 'a') + rest,
+    "{\"events\":[]}\r\n\r\n",
+  };
+  const size_t count = sizeof malformed / sizeof *malformed;
+
+  store.answer = [&] (raw_upstream &, raw_conn &conn, const std::string &) {
+    size_t call = calls_us.size ();
+
+    EXPECT_EQ (feed.view.known_us, 0) << call;
+    calls_us.push_back (eel_clock_us ());
+    if (call < count)
+      raw_upstream::end (conn, false, malformed[call]);
+    else
+      answer (conn, nothing_new);
+  };
+  item_reader_request (&reader);
+  run_until_calls (count + 1);
+  run_ms (50);
+  EXPECT_GT (feed.view.known_us, 0);
+  EXPECT_EQ (reader.after_revision, 9u);
+}
