Test malformed answers of the platform that eelgrasslatchd reads

Status 000, a blank in the name of the length or of the version, a line without a colon: each is handled already, as a read that failed.

--- a/tests/unit/test_platform.cc
+++ b/tests/unit/test_platform.cc
@@ -171,6 +171,14 @@
     { "lower version", ok ("X-Version: 4\r\n", "abc", 3) },
     { "empty", ok ("X-Version: 9\r\n", "", 0) },
     { "not modified without a watch", "HTTP/1.1 304 No\r\n\r\n" },
+    { "status 000", "HTTP/1.1 000 No\r\nX-Version: 9\r\n"
+                    "Content-Length: 3\r\n\r\nabc" },
+    { "blank in the name of the length",
+      "HTTP/1.1 200 OK\r\nX-Version: 9\r\nContent-Length : 3\r\n\r\nabc" },
+    { "blank in the name of the version",
+      "HTTP/1.1 200 OK\r\nX-Version : 9\r\nContent-Length: 3\r\n\r\nabc" },
+    { "line without a colon",
+      "HTTP/1.1 200 OK\r\nX-Version: 9\r\nX\r\nContent-Length: 3\r\n\r\nabc" },
     { "garbage", "SSH-2.0-x\r\n\r\n" },
     { "closed at once", "\r\n" },
   };
