--- a/tests/standin/endpoint.c
+++ b/tests/standin/endpoint.c
@@ -1,4 +1,5 @@
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <inttypes.h>
@@ -16,7 +17,8 @@
  * It executes requests whose X-Expected-Instance is its id, refuses others with
  * 421, and prints one line per execution: request id, method, target, caller
  * service and, with "all", team, authorization, Unix time in ms.  A target with
- * "status=500" fails, "/crash" ends the process, "/long" takes 3.5 s.
+ * "status=500" fails, "/crash" ends the process, "/long" takes 3.5 s; "/raw" is
+ * answered with the bytes of the request's body.
  * Without arguments it prints the first port of a free range.
  */
 
@@ -98,6 +100,19 @@
           (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000);
 }
 
+/* evhttp takes no further request on the connection; it frees this one once the
+   peer has closed too. */
+static void
+send_body_back (struct evhttp_request *request)
+{
+  struct evbuffer *body = evhttp_request_get_input_buffer (request);
+  evutil_socket_t fd = bufferevent_getfd (evhttp_connection_get_bufferevent (
+      evhttp_request_get_connection (request)));
+
+  evbuffer_write (body, fd);
+  shutdown (fd, SHUT_WR);
+}
+
 static void
 on_request (struct evhttp_request *request, void *data)
 {
@@ -118,6 +133,11 @@
   fflush (stdout);
   if (strstr (evhttp_request_get_uri (request), "/crash") != NULL)
     _exit (EXIT_FAILURE);
+  if (strstr (evhttp_request_get_uri (request), "/raw") != NULL)
+    {
+      send_body_back (request);
+      return;
+    }
   event_base_once (endpoint.base, -1, EV_TIMEOUT, send_answer, request,
                    strstr (evhttp_request_get_uri (request), "/long") != NULL
                        ? &long_work_time
