--- a/src/base/status_line.c
+++ b/src/base/status_line.c
@@ -12,6 +12,8 @@
   STATUS_END
 };
 
+_Static_assert(STATUS_END + 1 == EEL_STATUS_LINE_BYTES, "length of the line");
+
 static int
 is_digit (char byte)
 {
