Send what two cases of the malformed answers are named for

Cause: fleet_ask sets the variable id, from which the script built its answers, so "another coding" and "length of many digits" sent a line without a colon instead, and could not have failed for what they are named for.

Change: another name.

--- a/tests/run/test_malformed_answers.sh
+++ b/tests/run/test_malformed_answers.sh
@@ -15,8 +15,8 @@
 fleet_until fleet_is_ready 2
 fleet_until fleet_is_ready 3
 fleet_until fleet_returns 200 2 /safe/ready
-id='Connection: close\r\nX-Attempt-Id: %s\r\n'
-sound="$id"'X-Response-Signature: signed\r\nContent-Length: 2\r\n\r\nab'
+fields='Connection: close\r\nX-Attempt-Id: %s\r\n'
+sound="$fields"'X-Response-Signature: signed\r\nContent-Length: 2\r\n\r\nab'
 
 # answer NAME FORMAT: the callers' answers to orders that the endpoint answers
 # with these bytes; %s in FORMAT is the id of the order.
@@ -48,9 +48,9 @@
 	answer "NUL in a value" "HTTP/1.1 200 OK\r\nX: \000\r\n$sound"
 	answer "no colon" "HTTP/1.1 200 OK\r\nX\r\n$sound"
 	answer "CR without LF" "HTTP/1.1 200 OK\rX$sound"
-	answer "another coding" "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n$id\r\n2\r\nab\r\n0\r\n\r\n"
+	answer "another coding" "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n$fields\r\n2\r\nab\r\n0\r\n\r\n"
 	answer "time of many digits" "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9223372036854775807\r\n$sound"
-	answer "length of many digits" "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n$id\r\nab"
+	answer "length of many digits" "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n$fields\r\nab"
 	answer "coding and length" "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n$sound"
 	wait "$held2" "$held3"
 	echo "== orders at work meanwhile"
