--- a/review/7/play.c
+++ b/review/7/play.c
@@ -86,8 +86,8 @@
 {
   int id = next (&state.next_id);
 
-  lab_record ("lookup l-%d of tenant %d is sent, %d ms left", id, tenant,
-              left_ms);
+  lab_record ("lookup l-%d of tenant %d is sent on connection %d, %d ms left",
+              id, tenant, conn->fd, left_ms);
   return lab_send_text (conn,
                         "GET /status/ HTTP/1.1\r\nHost: " LAB_HOST
                         "\r\nX-Attempt-Id: l-%d\r\n"
@@ -104,8 +104,8 @@
 
   if (end == LAB_ANSWER)
     lab_field (answer->head, "X-Attempt-Id", id, sizeof id);
-  lab_record ("lookup %s: %s, status %d", id, lab_end_name (end),
-              end == LAB_ANSWER ? answer->status : 0);
+  lab_record ("connection %d: %s, status %d %s", conn->fd, lab_end_name (end),
+              end == LAB_ANSWER ? answer->status : 0, id);
   return end;
 }
 
