Serve requests that wait for a token from the event loop only

Cause: a request that found a token at hand had the queue of waiting requests served before it went on itself. That refused the request before it on the same connection, whose wait was over; in a planned stop such an answer carries Connection: close, which releases the requests behind it, also the one that was being taken. on_request then passed the freed entry to eel_entry_admit.

Change: taking a token sends what is due and wakes the timer; requests that wait are served by it, when no request is being taken.

--- a/src/relay/caps.c
+++ b/src/relay/caps.c
@@ -105,6 +105,18 @@
   arm_timer (caps, eel_clock_us ());
 }
 
+/* A decision about one request may end others, also the one that the caller is
+   about to go on with. */
+void
+eel_caps_wake (struct eel_caps *caps)
+{
+  send_due (caps);
+  if (caps->waiting.length > 0)
+    event_active (caps->timer, EV_TIMEOUT, 0);
+  else
+    arm_timer (caps, eel_clock_us ());
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *data)
 {
--- a/src/relay/caps.h
+++ b/src/relay/caps.h
@@ -74,8 +74,11 @@
 /* Drops nodes that lapsed long ago; call it about once a second. */
 void eel_caps_review_nodes (struct eel_caps *caps);
 void eel_caps_free (struct eel_caps *caps);
-/* Sends what is due and serves the requests that wait. */
+/* Sends what is due and serves the requests that wait.  May free any entry: no
+   caller may be at work on one. */
 void eel_caps_run (struct eel_caps *caps);
+/* Sends what is due, and has the event loop serve the requests that wait. */
+void eel_caps_wake (struct eel_caps *caps);
 
 void eel_caps_init_counters (struct eel_caps *caps,
                              struct eel_metrics *metrics);
@@ -88,7 +91,7 @@
 void eel_caps_report (struct eel_caps *caps, int64_t now_us);
 
 /* Takes a token for a new request and returns 1.  Otherwise the request waits
-   for one or has been answered. */
+   for one or has been answered.  Ends no other request. */
 int eel_entry_take_token (struct eel_entry *entry);
 /* The request has ended while it waited. */
 void eel_entry_leave_caps (struct eel_entry *entry);
--- a/src/relay/entry_cap.c
+++ b/src/relay/entry_cap.c
@@ -85,14 +85,14 @@
     {
     case EEL_CAP_ADMIT:
       take_token (entry, entry->arrived_us);
-      eel_caps_run (caps);
+      eel_caps_wake (caps);
       return 1;
     case EEL_CAP_REFUSE:
       refuse (entry, entry->arrived_us);
       return 0;
     default:
       wait_for_token (entry);
-      eel_caps_run (caps);
+      eel_caps_wake (caps);
       return 0;
     }
 }
