Order news of the store by era, then by revision

Cause: a store that comes back from a copy gives revisions out again. Nodes took the greatest revision that they had seen for how far their knowledge goes, and nothing that is not greater: the operator's next configurations were dropped as older items, and the watch went on from a revision of the life before.

Change: the store's header Store-Era is read from each answer. A greater one begins an era at the node: any revision of it is newer than what is held, and the items are listed anew, by the reader of a failure domain from the store and by the others from their peers, whose answers name their era. Answers of an older era, of the store or of a peer, are not applied. What must not go back does not hang on revisions: the version of the configuration in force is kept against the copy, told to peers that have an older one, and carried with the requests and answers between nodes. Entries that the copy lacks lapse as after an outage. An answer of a new era proves what a node knows, for keys, only once it has told a version as new as the one in force. A store or a peer that names no era counts as before.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -7,10 +7,10 @@
 
 /*
  * Endpoints that a registry lists.  The greater revision of an id always wins,
- * whatever its source.  An entry that the registry drops during an outage, or
- * in the grace period after it, stays usable until the end of that period,
- * since a live endpoint registers again.  One that has registered again and is
- * dropped then was withdrawn.
+ * whatever its source, within one era of the registry (published.h).  An entry
+ * that the registry drops during an outage, or in the grace period after it,
+ * stays usable until the end of that period, since a live endpoint registers
+ * again.  One that has registered again and is dropped then was withdrawn.
  */
 
 /* With the end of the text: keys of the registry have up to 200 bytes, and 8 of
@@ -154,6 +154,9 @@
                           const char *id,
                           uint64_t revision,
                           int64_t now_us);
+/* Begins a new era of the registry: any revision is greater than those known.
+ */
+void eel_directory_begin_era (struct eel_directory *directory);
 /* Records that an endpoint has said that it leaves, which holds until it starts
    again.  Returns 1 when that was not known. */
 int eel_directory_set_leaving (struct eel_directory *directory, const char *id);
--- a/include/eelgrasslatch/registry_view.h
+++ b/include/eelgrasslatch/registry_view.h
@@ -70,6 +70,10 @@
                                   int64_t stable_us,
                                   int64_t age_us,
                                   int64_t now_us);
+/* The registry came back from a copy at that time: entries that it lacks may
+   have been lost with it. */
+void eel_registry_view_era_began (struct eel_registry_view *view,
+                                  int64_t since_us);
 /*
  * The items include all changes up to when a read was sent to the registry, and
  * those of held_us after that.  Call it when they are applied, and never for a
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -25,6 +25,14 @@
   return NULL;
 }
 
+/* Those of an earlier era are ordered by when they came. */
+static int
+is_newer (const struct eel_instance *a, const struct eel_instance *b)
+{
+  return a->revision != b->revision ? a->revision > b->revision
+                                    : a->registered_us > b->registered_us;
+}
+
 /* Returns the newest entry of a service on a VM, in any state, or NULL. */
 struct eel_instance *
 eel_directory_find_by_address (struct eel_directory *directory,
@@ -38,7 +46,7 @@
       struct eel_instance *instance = &directory->instances[i];
 
       if (instance->ip == ip && instance->service == service
-          && (found == NULL || instance->revision > found->revision))
+          && (found == NULL || is_newer (instance, found)))
         found = instance;
     }
   return found;
@@ -89,6 +97,16 @@
   return eel_instance_listed (known) || instance->state != EEL_INSTANCE_READY;
 }
 
+/* True for an entry of the present era that was written before the start that
+   is known from an earlier one. */
+static int
+is_of_earlier_start (const struct eel_instance *known,
+                     const struct eel_instance *instance)
+{
+  return known->revision == 0 && known->state == EEL_INSTANCE_READY
+         && instance->born_ms != 0 && instance->born_ms < known->born_ms;
+}
+
 /* Adds or updates an entry; the sender's state of a known one is kept. */
 int
 eel_directory_put (struct eel_directory *directory,
@@ -110,6 +128,9 @@
       known->unaccepted = 0;
       return 1;
     }
+  if (is_of_earlier_start (known, instance))
+    return eel_directory_remove (directory, instance->id, instance->revision,
+                                 now_us);
   if (!is_same_start (known, instance))
     known->leaving = 0;
   known->born_ms = instance->born_ms;
@@ -161,6 +182,13 @@
   return 1;
 }
 
+void
+eel_directory_begin_era (struct eel_directory *directory)
+{
+  for (uint32_t i = 0; i < directory->count; i++)
+    directory->instances[i].revision = 0;
+}
+
 int
 eel_directory_set_leaving (struct eel_directory *directory, const char *id)
 {
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -21,6 +21,17 @@
   published->count = 0;
 }
 
+/* Any revision of the new era is greater than those of the items held. */
+void
+eel_published_begin_era (struct eel_published *published, uint64_t era)
+{
+  published->era = era;
+  published->newest = 0;
+  published->removals_since = 0;
+  for (uint32_t i = 0; i < published->count; i++)
+    published->items[i].revision = 0;
+}
+
 /* Returns the item of a key, also a removed one, or NULL. */
 struct eel_published_item *
 eel_published_find (const struct eel_published *published, const char *key)
@@ -84,21 +95,18 @@
   return oldest;
 }
 
-/* Stores an item whose revision is greater than that of the known one. */
-struct eel_published_item *
-eel_published_put (struct eel_published *published,
-                   const char *key,
-                   uint64_t revision,
-                   const void *data,
-                   size_t bytes)
+/* Copies a value into the item, or a slot when it is NULL; returns that, or
+   NULL when there is no room. */
+static struct eel_published_item *
+set_item (struct eel_published *published,
+          struct eel_published_item *item,
+          const char *key,
+          const void *data,
+          size_t bytes)
 {
-  struct eel_published_item *item = eel_published_find (published, key);
   uint8_t *copy = NULL;
 
-  if (item != NULL)
-    item->listed = 1;
-  if (strlen (key) >= EEL_PUBLISHED_KEY_MAX
-      || (item != NULL && item->revision >= revision))
+  if (strlen (key) >= EEL_PUBLISHED_KEY_MAX)
     return NULL;
   if (data != NULL)
     {
@@ -117,14 +125,50 @@
     }
   free (item->data);
   memcpy (item->key, key, strlen (key) + 1);
-  item->revision = revision;
   item->data = copy;
   item->bytes = bytes;
   item->listed = 1;
+  return item;
+}
+
+/* Stores an item whose revision is greater than that of the known one. */
+struct eel_published_item *
+eel_published_put (struct eel_published *published,
+                   const char *key,
+                   uint64_t revision,
+                   const void *data,
+                   size_t bytes)
+{
+  struct eel_published_item *item = eel_published_find (published, key);
+
+  if (item != NULL)
+    item->listed = 1;
+  if (item != NULL && item->revision >= revision)
+    return NULL;
+  item = set_item (published, item, key, data, bytes);
+  if (item == NULL)
+    return NULL;
+  item->revision = revision;
   eel_published_record_revision (published, revision);
   return item;
 }
 
+/* An item that was not held is of an earlier era. */
+struct eel_published_item *
+eel_published_replace (struct eel_published *published,
+                       const char *key,
+                       const void *data,
+                       size_t bytes)
+{
+  struct eel_published_item *item = eel_published_find (published, key);
+  uint64_t revision = item == NULL ? 0 : item->revision;
+
+  item = set_item (published, item, key, data, bytes);
+  if (item != NULL)
+    item->revision = revision;
+  return item;
+}
+
 static int
 has_prefix (const struct eel_published_item *item, const char *prefix)
 {
--- a/src/membership/registry_view.c
+++ b/src/membership/registry_view.c
@@ -120,6 +120,15 @@
   record_news (view, now_us - age_us);
 }
 
+void
+eel_registry_view_era_began (struct eel_registry_view *view, int64_t since_us)
+{
+  if (since_us > view->stable_since_us)
+    view->stable_since_us = since_us;
+  if (!view->path_lost)
+    eel_directory_set_stable_since (view->directory, view->stable_since_us);
+}
+
 /* An answer that came before the end of its hold was given at an unknown time
    since the read was sent. */
 void
--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -253,14 +253,14 @@
     evbuffer_add_printf (
         out,
         "%s: %s %" PRIx64 " %u %u %" PRId64 " %" PRIu64 " %u %" PRIu64
-        "%s%s\r\n",
+        " %u %u %" PRIu64 " %" PRIu64 "\r\n",
         EEL_RELAY_CALL,
         eel_service_name (&attempt->relay->names, call->service), call->route,
         call->rank, call->idempotent,
-        (call->target_us - now_us) / EEL_US_PER_MS, attempt->relay->revision,
-        call->request->framing, call->request->length_bytes,
-        call->is_guest ? " 1" : (call->has_teams ? " 0" : ""),
-        call->has_teams ? " 1" : "");
+        (call->target_us - now_us) / EEL_US_PER_MS,
+        attempt->relay->items.revision, call->request->framing,
+        call->request->length_bytes, call->is_guest != 0, call->has_teams != 0,
+        attempt->relay->items.era, attempt->relay->items.version);
   eel_head_write_framing (attempt->framing, call->request->length_bytes, out);
   evbuffer_add (out, "\r\n", 2);
 }
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -207,7 +207,7 @@
   unsigned rank;
   unsigned idempotent;
   long target_ms;
-  uint64_t revision;
+  struct eel_relay_items items = { 0 };
   unsigned framing;
   uint64_t length_bytes;
   int64_t now_us = eel_clock_us ();
@@ -215,10 +215,10 @@
   if (fields == NULL || remaining == NULL
       || sscanf (fields,
                  "%63s %" SCNx64 " %u %u %ld %" SCNu64 " %u %" SCNu64 " %" SCNu8
-                 " %" SCNu8,
+                 " %" SCNu8 " %" SCNu64 " %" SCNu64,
                  service, &call->route, &rank, &idempotent, &target_ms,
-                 &revision, &framing, &length_bytes, &call->is_guest,
-                 &call->has_teams)
+                 &items.revision, &framing, &length_bytes, &call->is_guest,
+                 &call->has_teams, &items.era, &items.version)
              < 8
       || framing > EEL_FRAMING_CHUNKED)
     return 0;
@@ -226,8 +226,7 @@
      framing. */
   request->framing = (enum eel_framing)framing;
   request->length_bytes = length_bytes;
-  if (revision > relay->peer_revision)
-    relay->peer_revision = revision;
+  eel_relay_record_items (relay, &items);
   call->request = request;
   call->request_id = eel_head_get (request, header_names->request_id);
   call->caller_service = eel_head_get (request, header_names->caller_service);
--- a/src/relay/load.c
+++ b/src/relay/load.c
@@ -21,7 +21,7 @@
   load->wait_us = eel_gate_wait_us (&relay->gate, now_us);
   load->callee_pressure_milli = (uint32_t)eel_entry_gate_downstream_pressure (
       &relay->entry_gate, &relay->call_costs, route, now_us);
-  load->revision = relay->revision;
+  load->items = relay->items;
   load->endpoint.fault_milli
       = eel_fault_rate_milli (&relay->fault_rate, now_us);
   load->endpoint.hold_us = (int64_t)relay->gate.hold_us;
@@ -55,8 +55,7 @@
     pressure = (double)load->wait_us * 1000 / (double)target_us;
   eel_entry_gate_report_pressure (&relay->entry_gate, route, pressure,
                                   eel_clock_us ());
-  if (load->revision > relay->peer_revision)
-    relay->peer_revision = load->revision;
+  eel_relay_record_items (relay, &load->items);
 }
 
 /* Logs at most one line per second, for later analysis; none while no request
--- a/src/relay/load_field.c
+++ b/src/relay/load_field.c
@@ -35,14 +35,15 @@
 {
   const struct eel_instance_report *endpoint = &load->endpoint;
 
-  evbuffer_add_printf (lines,
-                       "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64
-                       " %u %" PRIu64 " %u %" PRId64 "\r\n",
-                       EEL_RELAY_LOAD, endpoint->use_milli, load->wait_us,
-                       load->callee_pressure_milli, load->revision,
-                       endpoint->fault_milli, endpoint->hold_us,
-                       endpoint->has_limit, endpoint->limit_milli,
-                       endpoint->speed_milli, endpoint->run_us);
+  evbuffer_add_printf (
+      lines,
+      "%s: %u %" PRId64 " %u %" PRIu64 " %u %" PRId64 " %u %" PRIu64
+      " %u %" PRId64 " %" PRIu64 " %" PRIu64 "\r\n",
+      EEL_RELAY_LOAD, endpoint->use_milli, load->wait_us,
+      load->callee_pressure_milli, load->items.revision, endpoint->fault_milli,
+      endpoint->hold_us, endpoint->has_limit, endpoint->limit_milli,
+      endpoint->speed_milli, endpoint->run_us, load->items.era,
+      load->items.version);
   write_rank_waits (endpoint, lines);
 }
 
@@ -103,8 +104,8 @@
          && load->wait_us <= LOAD_TIME_MAX_US;
 }
 
-/* Nodes of earlier versions end the field after the limit; those of later ones
-   may add to it, which is ignored. */
+/* Nodes of earlier versions end the field after the limit or the time of a run;
+   those of later ones may add to it, which is ignored. */
 int
 eel_load_read (const struct eel_head *head, struct eel_relay_load *load)
 {
@@ -119,7 +120,7 @@
                   "%u %" SCNd64 " %u %" SCNu64 " %u %" SCNd64 " %u %" SCNu64
                   "%n %u %" SCNd64 "%n",
                   &endpoint->use_milli, &load->wait_us,
-                  &load->callee_pressure_milli, &load->revision,
+                  &load->callee_pressure_milli, &load->items.revision,
                   &endpoint->fault_milli, &endpoint->hold_us, &has_limit,
                   &endpoint->limit_milli, &end, &endpoint->speed_milli,
                   &endpoint->run_us, &end);
@@ -129,6 +130,11 @@
   if ((text[end] != 0 && (count != LOAD_FIELDS || text[end] != ' '))
       || !is_possible (load, has_limit))
     return 0;
+  if (count == LOAD_FIELDS
+      && sscanf (text + end, " %" SCNu64 " %" SCNu64, &load->items.era,
+                 &load->items.version)
+             != 2)
+    load->items.era = 0;
   text = find_rank_waits (head);
   return text == NULL || read_rank_waits (text, endpoint);
 }
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -252,6 +252,32 @@
   eel_service_names_finish (&relay->names);
 }
 
+void
+eel_relay_record_items (struct eel_relay *relay,
+                        const struct eel_relay_items *items)
+{
+  struct eel_relay_items *newest = &relay->peer_items;
+
+  if (items->era > newest->era
+      || (items->era == newest->era && items->revision > newest->revision))
+    {
+      newest->era = items->era;
+      newest->revision = items->revision;
+    }
+  if (items->version > newest->version)
+    newest->version = items->version;
+}
+
+int
+eel_relay_is_behind (const struct eel_relay *relay)
+{
+  const struct eel_relay_items *own = &relay->items;
+  const struct eel_relay_items *newest = &relay->peer_items;
+
+  return newest->version > own->version || newest->era > own->era
+         || (newest->era == own->era && newest->revision > own->revision);
+}
+
 /* The limits are those for callers; peers get a larger head, for the fields
    that nodes add, and a fixed idle time-out. */
 void
@@ -265,6 +291,7 @@
       free (relay->routes);
     }
   relay->routes = routes;
+  relay->items.version = routes->version;
   eel_relay_update_last_rank (relay);
   relay->callers.limits = *limits;
   relay->peers.limits = *limits;
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -148,6 +148,15 @@
   struct eel_metric *spared;
 };
 
+/* What a node has of the published items: the newest revision and its era
+   (published.h), and the version of the configuration in force. */
+struct eel_relay_items
+{
+  uint64_t era;
+  uint64_t revision;
+  uint64_t version;
+};
+
 /* Load of an endpoint, which its node reports with each answer. */
 struct eel_relay_load
 {
@@ -156,8 +165,7 @@
   int64_t wait_us;
   /* Greatest pressure on routes called by requests of the answer's route. */
   uint32_t callee_pressure_milli;
-  /* Newest revision of a published item that the node has received. */
-  uint64_t revision;
+  struct eel_relay_items items;
 };
 
 struct eel_sharing
@@ -249,9 +257,9 @@
   uint8_t stopping;
   /* Late in a planned stop: new requests are refused with Retry-After. */
   uint8_t refusing;
-  /* The newest published revision, known here and reported by peers. */
-  uint64_t revision;
-  uint64_t peer_revision;
+  /* Known here, and the newest of each that peers have reported. */
+  struct eel_relay_items items;
+  struct eel_relay_items peer_items;
   int64_t load_logged_us;
   int64_t spared_reviewed_us;
   uint64_t load_logged_started;
@@ -265,6 +273,11 @@
                     const struct eel_relay_config *config,
                     struct eel_metrics *metrics);
 void eel_relay_finish (struct eel_relay *relay);
+/* Records what a peer reports. */
+void eel_relay_record_items (struct eel_relay *relay,
+                             const struct eel_relay_items *items);
+/* True when a peer has reported what this node doesn't have. */
+int eel_relay_is_behind (const struct eel_relay *relay);
 /* Takes ownership of a sealed table; the previous one is finished and freed. */
 void eel_relay_set_routes (struct eel_relay *relay,
                            struct eel_route_table *routes,
--- a/tests/unit/test_relay_answers.cc
+++ b/tests/unit/test_relay_answers.cc
@@ -113,7 +113,7 @@
       })) << load;
       EXPECT_EQ (eel_directory_find (&relay->directory, "up-2")->reported_us, 0)
           << load;
-      EXPECT_EQ (relay->peer_revision, 0u) << load;
+      EXPECT_EQ (relay->peer_items.revision, 0u) << load;
       bufferevent_free (caller->bev);
     }
 }
