Keep endpoints that left out of use when a copy lists them again

Cause: a copy of the store holds an endpoint's entry as it was before the endpoint left, and in a new era that entry is newer than what is known. Beside it, a node that has read only the copy had nobody to tell it of a newer configuration while no request passed between it and others.

Evidence: tests/run/test_store_copy.sh on: 3 requests in 36 reach an endpoint that had said draining and is listed as ready again, and a node that starts does not serve the route of the lost version in 10 s.

Change: entries have a sequence beside the start (born). In a new era an endpoint that is known to have left stays out of use until it says itself, by a later start or sequence, that it is in service; or until four of its heartbeats and two seconds are over, after which one that is gone has lost its entry, and one that leaves has said so again. An entry of an earlier start counts as missing.

--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -11,6 +11,11 @@
  * that the registry drops during an outage, or in the grace period after it,
  * stays usable until the end of that period, since a live endpoint registers
  * again.  One that has registered again and is dropped then was withdrawn.
+ *
+ * In a new era the registry may list an endpoint as it was before it left. Such
+ * an endpoint stays out of use until it says itself that it is in service, by a
+ * later start or sequence, or for as long as it takes an endpoint that is gone
+ * to lose its entry, and one that leaves to say so again.
  */
 
 /* With the end of the text: keys of the registry have up to 200 bytes, and 8 of
@@ -103,7 +108,12 @@
   /* When it started, by its own clock; 0: unknown.  Tells two starts under one
      id apart. */
   int64_t born_ms;
+  /* Counts what the endpoint has said of itself since then. */
+  int64_t sequence;
   int64_t cold_until_us;
+  /* Known to have left in an earlier era: entries that are no later don't count
+     until this time; 0: it is not. */
+  int64_t left_until_us;
   /* When this node learned of the newest registration, and of its loss; 0: it
      is not lost, or was withdrawn. */
   int64_t registered_us;
@@ -154,9 +164,23 @@
                           const char *id,
                           uint64_t revision,
                           int64_t now_us);
-/* Begins a new era of the registry: any revision is greater than those known.
+/*
+ * Begins a new era of the registry: any revision is greater than those known.
+ * Endpoints that have left stay out of use until hold_until_us.
  */
-void eel_directory_begin_era (struct eel_directory *directory);
+void eel_directory_begin_era (struct eel_directory *directory,
+                              int64_t hold_until_us);
+/* Records that an endpoint had left when it was at that start and sequence, as
+   known in an earlier era.  Returns 1 when it was in use. */
+int eel_directory_set_left (struct eel_directory *directory,
+                            const char *id,
+                            int64_t born_ms,
+                            int64_t sequence,
+                            int64_t until_us);
+/* Returns an endpoint whose time of being held out of use is over, and ends it;
+   NULL when there is none left.  Its entry may be put again. */
+struct eel_instance *
+eel_directory_next_released (struct eel_directory *directory, int64_t now_us);
 /* Records that an endpoint has said that it leaves, which holds until it starts
    again.  Returns 1 when that was not known. */
 int eel_directory_set_leaving (struct eel_directory *directory, const char *id);
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -97,6 +97,19 @@
   return eel_instance_listed (known) || instance->state != EEL_INSTANCE_READY;
 }
 
+/* True when the entry is no later than what was known when the endpoint
+   left. */
+static int
+is_held_left (const struct eel_instance *known,
+              const struct eel_instance *instance)
+{
+  if (known->left_until_us == 0 || instance->state != EEL_INSTANCE_READY)
+    return 0;
+  return instance->born_ms < known->born_ms
+         || (instance->born_ms == known->born_ms
+             && instance->sequence <= known->sequence);
+}
+
 /* True for an entry of the present era that was written before the start that
    is known from an earlier one. */
 static int
@@ -128,11 +141,18 @@
       known->unaccepted = 0;
       return 1;
     }
+  if (is_held_left (known, instance))
+    {
+      known->revision = instance->revision;
+      return 0;
+    }
   if (is_of_earlier_start (known, instance))
     return eel_directory_remove (directory, instance->id, instance->revision,
                                  now_us);
   if (!is_same_start (known, instance))
     known->leaving = 0;
+  known->left_until_us = 0;
+  known->sequence = instance->sequence;
   known->born_ms = instance->born_ms;
   known->service = instance->service;
   known->state = instance->state;
@@ -183,10 +203,53 @@
 }
 
 void
-eel_directory_begin_era (struct eel_directory *directory)
+eel_directory_begin_era (struct eel_directory *directory, int64_t hold_until_us)
 {
   for (uint32_t i = 0; i < directory->count; i++)
-    directory->instances[i].revision = 0;
+    {
+      struct eel_instance *instance = &directory->instances[i];
+
+      instance->revision = 0;
+      if (instance->state == EEL_INSTANCE_REMOVED
+          || instance->state == EEL_INSTANCE_DRAINING)
+        instance->left_until_us = hold_until_us;
+    }
+}
+
+/* What it said later than that counts. */
+int
+eel_directory_set_left (struct eel_directory *directory,
+                        const char *id,
+                        int64_t born_ms,
+                        int64_t sequence,
+                        int64_t until_us)
+{
+  struct eel_instance *known = eel_directory_find (directory, id);
+
+  if (known == NULL || !eel_instance_listed (known) || known->born_ms > born_ms
+      || (known->born_ms == born_ms && known->sequence > sequence))
+    return 0;
+  known->state = EEL_INSTANCE_REMOVED;
+  known->lapsed_us = 0;
+  known->left_until_us = until_us;
+  return 1;
+}
+
+struct eel_instance *
+eel_directory_next_released (struct eel_directory *directory, int64_t now_us)
+{
+  for (uint32_t i = 0; i < directory->count; i++)
+    {
+      struct eel_instance *instance = &directory->instances[i];
+
+      if (instance->left_until_us != 0 && now_us >= instance->left_until_us)
+        {
+          instance->left_until_us = 0;
+          instance->revision = 0;
+          return instance;
+        }
+    }
+  return NULL;
 }
 
 int
--- a/src/relay/relay.c
+++ b/src/relay/relay.c
@@ -269,15 +269,22 @@
 }
 
 int
-eel_relay_is_behind (const struct eel_relay *relay)
+eel_relay_lacks_items (const struct eel_relay *relay)
 {
   const struct eel_relay_items *own = &relay->items;
   const struct eel_relay_items *newest = &relay->peer_items;
 
-  return newest->version > own->version || newest->era > own->era
+  return newest->era > own->era
          || (newest->era == own->era && newest->revision > own->revision);
 }
 
+int
+eel_relay_is_behind (const struct eel_relay *relay)
+{
+  return relay->peer_items.version > relay->items.version
+         || eel_relay_lacks_items (relay);
+}
+
 /* The limits are those for callers; peers get a larger head, for the fields
    that nodes add, and a fixed idle time-out. */
 void
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -276,7 +276,9 @@
 /* Records what a peer reports. */
 void eel_relay_record_items (struct eel_relay *relay,
                              const struct eel_relay_items *items);
-/* True when a peer has reported what this node doesn't have. */
+/* True when a peer has reported items that this node doesn't have, or also a
+   later version. */
+int eel_relay_lacks_items (const struct eel_relay *relay);
 int eel_relay_is_behind (const struct eel_relay *relay);
 /* Takes ownership of a sealed table; the previous one is finished and freed. */
 void eel_relay_set_routes (struct eel_relay *relay,
--- a/tests/standin/endpoint.c
+++ b/tests/standin/endpoint.c
@@ -24,7 +24,7 @@
 
 /* Size of the free range: ports on each of the addresses from 127.0.0.1. */
 #define PORTS_PER_VM 8
-#define VM_COUNT 8
+#define VM_COUNT 16
 
 static struct
 {
--- a/tools/platform_fleet.sh
+++ b/tools/platform_fleet.sh
@@ -11,6 +11,8 @@
 FLEET_BOUNDS=""
 # Network prefix at which other nodes reach a VM: its own or that of proxies.
 FLEET_NET=127.0.0
+# Sequence of the entries that are published.
+FLEET_SEQUENCE=1
 # Teams of each configuration, as a JSON array, what routes have beside the usual,
 # and the key of requests; empty: none.
 FLEET_TEAMS=""
@@ -77,7 +79,7 @@
 # fleet_entry N ID STATE: publishes the store entry of the endpoint of VM N.
 fleet_entry()
 {
-	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"$FLEET_NET.$1:$((FLEET_PORT + 1))\",\"zone\":\"${FLEET_ZONE:-z$1}\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":1}"
+	store_put "servers/$2" "{\"service\":\"shop\",\"address\":\"$FLEET_NET.$1:$((FLEET_PORT + 1))\",\"zone\":\"${FLEET_ZONE:-z$1}\",\"version\":\"v1\",\"slots\":20,\"state\":\"$3\",\"coldRemainingMs\":0,\"sequence\":$FLEET_SEQUENCE}"
 }
 
 # fleet_proxy NAME LISTEN_IP TARGET_IP PORT...: starts a fault-injecting proxy.
