Tell what is held against a copy only to those that lack it

Cause (read in the code, not seen in a run): a node that asked for changes with an older version got its configuration twice, among the events and as held against a copy; who has left went with each answer between nodes; and a peer that had not heard of the present era counted as unreachable, which keeps it from being asked for 2 s and more.

--- a/include/eelgrasslatch/published.h
+++ b/include/eelgrasslatch/published.h
@@ -54,13 +54,12 @@
                                               uint64_t revision,
                                               const void *data,
                                               size_t bytes);
-/* Replaces what is held of a key, whose revision stays.  Returns the item, or
-   NULL when there is no room. */
-struct eel_published_item *
-eel_published_replace (struct eel_published *published,
-                       const char *key,
-                       const void *data,
-                       size_t bytes);
+/* Holds a value of an earlier era in the place of what is held of a key.
+   Returns the item, or NULL when there is no room. */
+struct eel_published_item *eel_published_keep (struct eel_published *published,
+                                               const char *key,
+                                               const void *data,
+                                               size_t bytes);
 /* Records the revision of an item that is not stored; 0 if not the newest. */
 int eel_published_record_revision (struct eel_published *published,
                                    uint64_t revision);
--- a/src/membership/published.c
+++ b/src/membership/published.c
@@ -153,19 +153,17 @@
   return item;
 }
 
-/* An item that was not held is of an earlier era. */
 struct eel_published_item *
-eel_published_replace (struct eel_published *published,
-                       const char *key,
-                       const void *data,
-                       size_t bytes)
+eel_published_keep (struct eel_published *published,
+                    const char *key,
+                    const void *data,
+                    size_t bytes)
 {
-  struct eel_published_item *item = eel_published_find (published, key);
-  uint64_t revision = item == NULL ? 0 : item->revision;
+  struct eel_published_item *item = set_item (
+      published, eel_published_find (published, key), key, data, bytes);
 
-  item = set_item (published, item, key, data, bytes);
   if (item != NULL)
-    item->revision = revision;
+    item->revision = 0;
   return item;
 }
 
--- a/tests/unit/test_store_era.cc
+++ b/tests/unit/test_store_era.cc
@@ -236,6 +236,9 @@
   left.state = EEL_INSTANCE_DRAINING;
   left.revision = 2;
   eel_directory_put (&platform.relay.directory, &left, 1);
+  // Items of the present era are told in listings.
+  items_kept_render (&platform, 5, 1, text);
+  EXPECT_STREQ (text->str, "{\"era\":6");
   store_era_begin (&platform, 6, eel_clock_us ());
   other.platform.relay.items.version = 5;
   other.platform.relay.routes->version = 5;
@@ -246,7 +249,7 @@
   left.sequence = 9;
   eel_directory_put (&other.platform.relay.directory, &left, 1);
 
-  items_kept_render (&platform, 5, text);
+  items_kept_render (&platform, 5, 1, text);
   g_string_append_c (text, '}');
   items_kept_apply (&other.platform,
                     platform_json_parse (parser, text->str, text->len));
@@ -257,7 +260,7 @@
       eel_directory_find (&other.platform.relay.directory, "up-2")));
   g_string_truncate (text, 0);
   // A peer that has it all is told nothing but who has left.
-  items_kept_render (&platform, 7, text);
+  items_kept_render (&platform, 7, 1, text);
   EXPECT_EQ (strstr (text->str, "config"), nullptr);
   g_object_unref (parser);
   g_string_free (text, TRUE);
