--- a/include/eelgrasslatch/directory.h
+++ b/include/eelgrasslatch/directory.h
@@ -110,6 +110,8 @@
   int64_t born_ms;
   /* Counts what the endpoint has said of itself since then. */
   int64_t sequence;
+  /* Of an entry that is put: it comes from a listing, not from a change. */
+  uint8_t is_listed;
   int64_t cold_until_us;
   /* Known to have left in an earlier era: entries that are no later don't count
      until this time; 0: it is not. */
@@ -170,13 +172,11 @@
  */
 void eel_directory_begin_era (struct eel_directory *directory,
                               int64_t hold_until_us);
-/* Records that an endpoint had left when it was at that start and sequence, as
-   known in an earlier era.  Returns 1 when it was in use. */
+/* Records what a peer has known in an earlier era of an endpoint that has left:
+   its start and sequence then, its state and loss, and until when it is held
+   out of use.  Returns 1 when it was in use. */
 int eel_directory_set_left (struct eel_directory *directory,
-                            const char *id,
-                            int64_t born_ms,
-                            int64_t sequence,
-                            int64_t until_us);
+                            const struct eel_instance *left);
 /* Returns an endpoint whose time of being held out of use is over, and ends it;
    NULL when there is none left.  Its entry may be put again. */
 struct eel_instance *
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -97,8 +97,9 @@
   return eel_instance_listed (known) || instance->state != EEL_INSTANCE_READY;
 }
 
-/* True when the entry is no later than what was known when the endpoint
-   left. */
+/* True when the entry doesn't show that the endpoint said something after it
+   was known to have left.  That of a listing may, with a later sequence, be
+   older: not each one is told by a change. */
 static int
 is_held_left (const struct eel_instance *known,
               const struct eel_instance *instance)
@@ -107,7 +108,19 @@
     return 0;
   return instance->born_ms < known->born_ms
          || (instance->born_ms == known->born_ms
-             && instance->sequence <= known->sequence);
+             && (instance->is_listed || instance->sequence <= known->sequence));
+}
+
+/* True for an entry that a new era states as it was: it shows neither that its
+   endpoint reaches the registry now nor that it has just started. */
+static int
+is_restated (const struct eel_instance *known,
+             const struct eel_instance *instance)
+{
+  return known->revision == 0 && known->state == EEL_INSTANCE_READY
+         && instance->state == EEL_INSTANCE_READY
+         && instance->born_ms == known->born_ms
+         && instance->sequence <= known->sequence;
 }
 
 /* True for an entry of the present era that was written before the start that
@@ -116,7 +129,7 @@
 is_of_earlier_start (const struct eel_instance *known,
                      const struct eel_instance *instance)
 {
-  return known->revision == 0 && known->state == EEL_INSTANCE_READY
+  return known->revision == 0 && eel_instance_listed (known)
          && instance->born_ms != 0 && instance->born_ms < known->born_ms;
 }
 
@@ -151,6 +164,11 @@
                                  now_us);
   if (!is_same_start (known, instance))
     known->leaving = 0;
+  if (!is_restated (known, instance))
+    {
+      known->registered_us = now_us;
+      known->cold_until_us = instance->cold_until_us;
+    }
   known->left_until_us = 0;
   known->sequence = instance->sequence;
   known->born_ms = instance->born_ms;
@@ -162,8 +180,6 @@
   known->slots = instance->slots;
   known->same_domain = instance->same_domain;
   known->domain = instance->domain;
-  known->cold_until_us = instance->cold_until_us;
-  known->registered_us = now_us;
   known->lapsed_us = 0;
   return 1;
 }
@@ -219,19 +235,17 @@
 /* What it said later than that counts. */
 int
 eel_directory_set_left (struct eel_directory *directory,
-                        const char *id,
-                        int64_t born_ms,
-                        int64_t sequence,
-                        int64_t until_us)
+                        const struct eel_instance *left)
 {
-  struct eel_instance *known = eel_directory_find (directory, id);
+  struct eel_instance *known = eel_directory_find (directory, left->id);
 
-  if (known == NULL || !eel_instance_listed (known) || known->born_ms > born_ms
-      || (known->born_ms == born_ms && known->sequence > sequence))
+  if (known == NULL || !eel_instance_listed (known)
+      || known->born_ms > left->born_ms
+      || (known->born_ms == left->born_ms && known->sequence > left->sequence))
     return 0;
-  known->state = EEL_INSTANCE_REMOVED;
-  known->lapsed_us = 0;
-  known->left_until_us = until_us;
+  known->state = left->state;
+  known->lapsed_us = left->lapsed_us;
+  known->left_until_us = left->left_until_us;
   return 1;
 }
 
--- a/tests/run/test_store_copy.sh
+++ b/tests/run/test_store_copy.sh
@@ -75,11 +75,15 @@
 	fleet_config 6 /six/
 	fleet_until all_return 200 /six/x
 	restore
-	fleet_kill node2
+	for vm in 2 5 8 11; do
+		fleet_kill node$vm
+	done
 	FLEET_ZONE=z2
-	fleet_node 2
-	fleet_until fleet_returns 200 2 /six/x
-	echo "a node that starts after a copy: learns the lost version from the others"
+	for vm in 2 5 8 11; do
+		fleet_node $vm
+	done
+	fleet_until all_return 200 /six/x
+	echo "a failure domain that starts after a copy: learns the lost version from the others"
 	fleet_config 5 /five/
 	fleet_config 6 /six/
 	fleet_config 7 /six/ /seven/
--- a/tests/unit/test_directory_era.cc
+++ b/tests/unit/test_directory_era.cc
@@ -35,6 +35,16 @@
     eel_directory_put (&directory, &instance, now_us);
   }
 
+  bool
+  left (const char *id, int64_t born_ms, int64_t sequence)
+  {
+    struct eel_instance instance = said (id, 0, born_ms, sequence);
+
+    instance.state = EEL_INSTANCE_DRAINING;
+    instance.left_until_us = 100;
+    return eel_directory_set_left (&directory, &instance);
+  }
+
   // Ids of the endpoints that may receive requests.
   std::string
   in_use () const
@@ -110,9 +120,43 @@
 TEST_F (directory_era, PeersWordOnAnEndpointThatLeft)
 {
   put (said ("a", 4, 50, 5));
-  EXPECT_FALSE (eel_directory_set_left (&directory, "a", 50, 4, 100));
-  EXPECT_FALSE (eel_directory_set_left (&directory, "a", 40, 9, 100));
-  EXPECT_FALSE (eel_directory_set_left (&directory, "b", 50, 4, 100));
-  EXPECT_TRUE (eel_directory_set_left (&directory, "a", 50, 5, 100));
+  EXPECT_FALSE (left ("a", 50, 4));
+  EXPECT_FALSE (left ("a", 40, 9));
+  EXPECT_FALSE (left ("b", 50, 4));
+  EXPECT_TRUE (left ("a", 50, 5));
+  EXPECT_EQ (in_use (), "");
+  // Its node still counts, as at the one that told.
+  EXPECT_EQ (eel_directory_find (&directory, "a")->state,
+             EEL_INSTANCE_DRAINING);
+}
+
+// Guards against an endpoint that is dropped at once when its entry lapses just
+// after the registry is back: the copy's entry is no registration.
+TEST_F (directory_era, EntryThatIsStatedAsItWasMayLapse)
+{
+  put (said ("a", 6, 50, 3), 1);
+  eel_directory_begin_era (&directory, 100);
+  eel_directory_set_stable_since (&directory, 10);
+  put (said ("a", 2, 50, 3), 11);
+  EXPECT_TRUE (eel_directory_remove (&directory, "a", 3, 20));
+  EXPECT_EQ (in_use (), "a");
+  put (said ("a", 4, 50, 4), 30);
+  EXPECT_TRUE (eel_directory_remove (&directory, "a", 5, 40));
+  EXPECT_EQ (in_use (), "");
+}
+
+// Guards against an endpoint that left and is taken for one in service by a
+// sequence that went on without a change: the copy lists it.
+TEST_F (directory_era, LaterSequenceOfAListingIsNoWordOfTheEndpoint)
+{
+  struct eel_instance listed = said ("a", 2, 50, 5);
+
+  put (said ("a", 6, 50, 3));
+  ASSERT_TRUE (eel_directory_remove (&directory, "a", 9, 1));
+  eel_directory_begin_era (&directory, 100);
+  listed.is_listed = 1;
+  put (listed, 10);
   EXPECT_EQ (in_use (), "");
+  put (said ("a", 3, 50, 6), 20);
+  EXPECT_EQ (in_use (), "a");
 }
