Log orders that end unknown, and attempts that end at a leaving node

From the logs it could not be told whether its attempt never reached the leaving node or was refused there and the refusal was lost.

--- a/src/node/drain.c
+++ b/src/node/drain.c
@@ -66,6 +66,8 @@
   struct timeval delay = { 0, EXIT_DELAY_US };
 
   node->exiting = 1;
+  g_message ("event=drained drain_ms=%" G_GINT64_FORMAT,
+             (node->now_us - node->drain_started_us) / EEL_US_PER_MS);
   node_post (node, node->out.front, &msg);
   node->exit_timer = evtimer_new (node->base, exit_timer_fired, node);
   if (node->exit_timer == NULL || evtimer_add (node->exit_timer, &delay) != 0)
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -129,6 +129,13 @@
                         const struct eel_wire_message *wire);
 void node_order_tick (struct eel_node *node);
 
+/* order_log.c */
+void node_order_log_unknown (struct eel_node *node,
+                             const struct eel_action *action);
+void node_order_log_leaving (struct eel_node *node,
+                             const struct node_run *run,
+                             const struct eel_answer *answer);
+
 /* dispatch.c */
 uint64_t node_key_hash (const struct eel_key *key);
 struct node_order *node_order_find (const struct eel_node *node,
--- a/src/node/order.c
+++ b/src/node/order.c
@@ -195,6 +195,8 @@
 
   if (request == NULL)
     return;
+  if (action->outcome == EEL_OUTCOME_UNKNOWN)
+    node_order_log_unknown (node, action);
   request->ledger.spare = action->spare;
   node_request_answer (node, request, action_answer (action));
 }
--- a/src/node/run.c
+++ b/src/node/run.c
@@ -31,6 +31,8 @@
 
   if (answer == NULL)
     answer = eel_answer_error (0, EEL_ERROR_INTERNAL);
+  if (answer != NULL)
+    node_order_log_leaving (node, run, answer);
   if (wire != NULL && answer != NULL && !run->cancelled)
     {
       answer->call_id = run->slot.origin_id;
--- a/src/node/state.h
+++ b/src/node/state.h
@@ -299,6 +299,8 @@
   uint8_t front_drained;
   uint8_t exiting;
   int64_t drain_started_us;
+  int64_t order_log_since_us;
+  uint32_t order_log_lines;
   uint8_t reader;
   /* Another node has sent gossip; the platform has answered. */
   uint8_t gossip_received;
