Repeat calls of ZeroMQ that a signal interrupted

Cause: a call of ZeroMQ fails with EINTR if a signal is pending. The peers task took that for "not sent" (an answer was dropped then, and a message of the ROUTER socket torn between its frames) and for "nothing to read" (the message stayed in the socket, whose descriptor is edge-triggered).

Change: sends, receives, reads of ZMQ_EVENTS and connects are in one file and are repeated when interrupted.

--- a/src/peer/auth.c
+++ b/src/peer/auth.c
@@ -41,7 +41,7 @@
       char discarded[ZAP_FRAME_MAX + 1];
       int stored = request->count < ZAP_FRAMES;
       char *frame = stored ? request->frames[request->count] : discarded;
-      int bytes = zmq_recv (socket, frame, ZAP_FRAME_MAX, ZMQ_DONTWAIT);
+      int bytes = peers_receive_bytes (socket, frame, ZAP_FRAME_MAX);
 
       if (bytes < 0)
         return 0;
@@ -70,12 +70,13 @@
 {
   const char *status = accepted ? "200" : "400";
 
-  zmq_send (socket, "1.0", 3, ZMQ_SNDMORE);
-  zmq_send (socket, request->frames[1], (size_t)request->bytes[1], ZMQ_SNDMORE);
-  zmq_send (socket, status, 3, ZMQ_SNDMORE);
-  zmq_send (socket, "", 0, ZMQ_SNDMORE);
-  zmq_send (socket, "", 0, ZMQ_SNDMORE);
-  zmq_send (socket, "", 0, 0);
+  peers_send_frame (socket, "1.0", 3, ZMQ_SNDMORE);
+  peers_send_frame (socket, request->frames[1], (size_t)request->bytes[1],
+                    ZMQ_SNDMORE);
+  peers_send_frame (socket, status, 3, ZMQ_SNDMORE);
+  peers_send_frame (socket, "", 0, ZMQ_SNDMORE);
+  peers_send_frame (socket, "", 0, ZMQ_SNDMORE);
+  peers_send_frame (socket, "", 0, 0);
 }
 
 static void
@@ -159,7 +160,8 @@
       != 0)
     return 0;
   peers->monitor = zmq_socket (peers->context, ZMQ_PAIR);
-  if (peers->monitor == NULL || zmq_connect (peers->monitor, address) != 0
+  if (peers->monitor == NULL
+      || peers_connect_socket (peers->monitor, address) != 0
       || zmq_getsockopt (peers->monitor, ZMQ_FD, &fd, &fd_bytes) != 0)
     return 0;
   peers->monitor_readable = event_new (peers->base, fd, EV_READ | EV_PERSIST,
--- a/src/peer/link.c
+++ b/src/peer/link.c
@@ -73,7 +73,7 @@
     return 0;
   set_link_options (link);
   snprintf (url, sizeof url, "tcp://%s", link->address);
-  if (zmq_connect (link->socket, url) != 0
+  if (peers_connect_socket (link->socket, url) != 0
       || zmq_getsockopt (link->socket, ZMQ_FD, &fd, &fd_bytes) != 0)
     return 0;
   link->readable = event_new (link->peers->base, fd, EV_READ | EV_PERSIST,
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -3,6 +3,7 @@
 
 #include <event2/event.h>
 #include <stdint.h>
+#include <zmq.h>
 
 #include "internal/tasks.h"
 #include "internal/wire.h"
@@ -104,6 +105,11 @@
                        uint32_t node,
                        uint64_t incarnation);
 
+/* calls.c */
+int peers_send_frame (void *socket, const void *data, size_t bytes, int flags);
+int peers_receive_frame (void *socket, zmq_msg_t *frame);
+int peers_receive_bytes (void *socket, void *data, size_t bytes_max);
+int peers_connect_socket (void *socket, const char *url);
 /*
  * Returns 1 while a message can be read.  ZMQ's descriptors are edge-triggered,
  * so a caller that stops reading earlier has to activate the event itself.
--- a/src/peer/receive.c
+++ b/src/peer/receive.c
@@ -8,18 +8,6 @@
 #define RECEIVE_BATCH_MAX 256
 #define LOG_INTERVAL_US (10 * EEL_US_PER_S)
 
-int
-peers_readable (void *socket)
-{
-  int events = 0;
-  size_t events_bytes = sizeof events;
-
-  if (socket == NULL
-      || zmq_getsockopt (socket, ZMQ_EVENTS, &events, &events_bytes) != 0)
-    return 0;
-  return (events & ZMQ_POLLIN) != 0;
-}
-
 static uint32_t
 inbound_slot (const struct eel_peers *peers, uint32_t node)
 {
@@ -157,7 +145,7 @@
   for (; more; index++)
     {
       zmq_msg_init (&frame);
-      if (zmq_msg_recv (&frame, socket, ZMQ_DONTWAIT) < 0)
+      if (peers_receive_frame (socket, &frame) < 0)
         {
           zmq_msg_close (&frame);
           return 0;
--- a/src/peer/send.c
+++ b/src/peer/send.c
@@ -21,8 +21,7 @@
               size_t bytes)
 {
   int sent
-      = link->socket != NULL
-        && zmq_send (link->socket, data, bytes, ZMQ_DONTWAIT) == (int)bytes;
+      = link->socket != NULL && peers_send_frame (link->socket, data, bytes, 0);
 
   (void)peers;
   /* A send can consume the descriptor's readiness edge of a pending message. */
@@ -44,9 +43,8 @@
   if (!peers_inbound_find (peers, node, &incarnation))
     return 0;
   peers_routing_id (id, node, incarnation);
-  sent
-      = zmq_send (peers->router, id, sizeof id, ZMQ_DONTWAIT | ZMQ_SNDMORE) >= 0
-        && zmq_send (peers->router, data, bytes, ZMQ_DONTWAIT) == (int)bytes;
+  sent = peers_send_frame (peers->router, id, sizeof id, ZMQ_SNDMORE)
+         && peers_send_frame (peers->router, data, bytes, 0);
   if (peers_readable (peers->router))
     event_active (peers->router_readable, EV_READ, 0);
   return sent;
