Test that a leaving node waits for its peers, which fails

Found while an order lost in a planned stop was traced: a node exits 100 ms after nothing is open, whether or not its peers know that it leaves and have its last answers.

--- a/tests/unit/node_cluster.cc
+++ b/tests/unit/node_cluster.cc
@@ -11,6 +11,8 @@
 
   if (msg->kind == EEL_MSG_DRAIN)
     vm->front_drain_received = true;
+  if (msg->kind == EEL_MSG_DRAINED)
+    vm->exiting = true;
   if (msg->kind != EEL_MSG_ANSWER || msg->answer == nullptr)
     return;
   const struct eel_answer *answer = msg->answer;
@@ -64,6 +66,16 @@
   return out;
 }
 
+static void
+deliver (Vm &vm, const struct eel_wire_message *wire)
+{
+  struct eel_msg msg = {};
+
+  msg.kind = EEL_MSG_PEER_RECEIVED;
+  msg.wire = recode (wire);
+  eel_mailbox_post (vm.inbox (), &msg);
+}
+
 static void
 peers_handle (void *task, struct eel_msg *msg)
 {
@@ -88,9 +100,25 @@
       eel_mailbox_post (vm->inbox (), &out);
       return;
     }
-  out.kind = EEL_MSG_PEER_RECEIVED;
-  out.wire = recode (msg->wire);
-  eel_mailbox_post (cluster->vm (to).inbox (), &out);
+  if (cluster->hold_message && cluster->hold_message (msg->wire, to))
+    {
+      cluster->held.emplace_back (to, msg->wire);
+      msg->wire = nullptr;
+      return;
+    }
+  deliver (cluster->vm (to), msg->wire);
+}
+
+// Delivers the held messages in the order in which they were sent.
+void
+Cluster::release_held ()
+{
+  for (auto &[to, wire] : held)
+    {
+      deliver (vm (to), wire);
+      eel_wire_free (wire);
+    }
+  held.clear ();
 }
 
 static void
--- a/tests/unit/node_cluster.h
+++ b/tests/unit/node_cluster.h
@@ -50,6 +50,8 @@
   // Handles a run at the fake upstream; by default it answers 200.
   std::function<void (Vm &, struct eel_msg *)> on_run;
   bool front_drain_received = false;
+  // The node has decided to end its process.
+  bool exiting = false;
   bool reader = false;
 
   struct eel_mailbox *
@@ -73,6 +75,10 @@
   // Returns true to have the peers task report a message as unsent.
   std::function<bool (const struct eel_wire_message *, uint32_t to)>
       report_unsent;
+  // Returns true to hold a message until release_held.
+  std::function<bool (const struct eel_wire_message *, uint32_t to)>
+      hold_message;
+  std::vector<std::pair<uint32_t, struct eel_wire_message *>> held;
   std::map<int, int> sent_by_kind;
   // Id of a node for run_until to restart, or 0.
   uint32_t restart_node = 0;
@@ -88,6 +94,7 @@
   }
   bool run_until (const std::function<bool ()> &until, int timeout_ms = 3000);
   void run_for (int ms);
+  void release_held ();
   void start (Vm &vm);
   void stop (Vm &vm);
   void call (uint32_t id,
--- a/tests/unit/test_node_orders.cc
+++ b/tests/unit/test_node_orders.cc
@@ -32,6 +32,17 @@
   return wire->kind == EEL_WIRE_CALL && wire->role == EEL_WIRE_EXECUTE;
 }
 
+void
+planned_stop (Cluster &cluster, uint32_t id)
+{
+  struct eel_msg msg = {};
+
+  msg.kind = EEL_MSG_DRAIN;
+  eel_mailbox_post (cluster.vm (id).inbox (), &msg);
+  msg.kind = EEL_MSG_DRAINED;
+  eel_mailbox_post (cluster.vm (id).inbox (), &msg);
+}
+
 const order_case cases[] = {
   // Guards against "not run" reported for an order that the upstream started.
   { "upstream breaks", 2,
@@ -187,3 +198,73 @@
   EXPECT_EQ (cluster.vm (1).answers[1].outcome, EEL_OUTCOME_RAN);
   EXPECT_EQ (refused, 4);
 }
+
+// Guards against a planned stop that ends while a peer still sends it orders.
+TEST (node_orders, sent_to_a_leaving_node_that_the_sender_has_not_heard_of)
+{
+  Cluster cluster (3);
+  std::vector<std::string> keys;
+  bool is_late = true;
+  size_t sent = 0;
+
+  for (int i = 0; i < 12; i++)
+    keys.push_back (cluster.issue_key (2));
+  cluster.vm (2).upstream_state (EEL_UPSTREAM_DRAINING);
+  cluster.run_for (50);
+  cluster.drop_message = [&] (const struct eel_wire_message *wire,
+                              uint32_t to) {
+    sent += is_execute (wire) && to == 1;
+    if (to == 1)
+      return cluster.vm (1).exiting;
+    return is_late && to == 2
+           && (wire->kind == EEL_WIRE_LEAVING || wire->kind == EEL_WIRE_GOSSIP);
+  };
+  planned_stop (cluster, 1);
+  cluster.run_for (300);
+  for (size_t i = 0; i < keys.size (); i++)
+    cluster.call (2, i, [&] (struct eel_call &call) {
+      make_order (call, keys[i]);
+      call.given |= EEL_GIVEN_DEADLINE;
+      call.deadline_us = eel_clock_us () + 1500 * EEL_US_PER_MS;
+    });
+  cluster.run_for (50);
+  is_late = false;
+  for (size_t i = 0; i < keys.size (); i++)
+    {
+      ASSERT_TRUE (cluster.wait_for_answer (2, i));
+      EXPECT_EQ (cluster.vm (2).answers[i].outcome, EEL_OUTCOME_RAN);
+    }
+  EXPECT_GT (sent, 0u);
+  EXPECT_EQ (cluster.runs (), keys.size ());
+  EXPECT_TRUE (cluster.run_until ([&] { return cluster.vm (1).exiting; }));
+}
+
+// Guards against a planned stop that ends before its last answers arrived.
+TEST (node_orders, answers_of_a_leaving_node_arrive_before_it_exits)
+{
+  Cluster cluster (2);
+  std::string key = cluster.issue_key (2);
+  bool is_slow = false;
+
+  cluster.vm (1).on_run = [] (Vm &, struct eel_msg *) {};
+  cluster.vm (2).upstream_state (EEL_UPSTREAM_DRAINING);
+  cluster.run_for (50);
+  cluster.call (2, 1, [&] (struct eel_call &c) { make_order (c, key); });
+  ASSERT_TRUE (
+      cluster.run_until ([&] { return cluster.vm (1).runs.size () == 1; }));
+  planned_stop (cluster, 1);
+  cluster.run_for (100);
+  cluster.hold_message = [&] (const struct eel_wire_message *, uint32_t to) {
+    return is_slow && to == 2;
+  };
+  is_slow = true;
+  cluster.vm (1).finish_run (cluster.vm (1).runs[0].call_id, EEL_RUN_ANSWERED,
+                             "last");
+  cluster.run_for (300);
+  EXPECT_FALSE (cluster.vm (1).exiting);
+  is_slow = false;
+  cluster.release_held ();
+  ASSERT_TRUE (cluster.wait_for_answer (2, 1));
+  EXPECT_EQ (cluster.vm (2).answers[1].outcome, EEL_OUTCOME_RAN);
+  EXPECT_TRUE (cluster.run_until ([&] { return cluster.vm (1).exiting; }));
+}
