Drop the rest of a body whose run the endpoint interrupted

The node beside it ended with a segmentation fault, and all requests at work there were cut.

Cause: a run that its endpoint interrupts waits without a link for the check whether the endpoint has crashed. It counts as accepted, and accepted was taken to mean that there is a link: the next piece of the body, or its end, was written to a link that is NULL. So did forwarded requests (executor.c).

Change: the body goes to the link if there is one; without one it is kept until the request is accepted, and dropped after that. An attempt is: not sent (pending), sent (link), interrupted (no link, running), or ended.

--- a/src/relay/attempt.c
+++ b/src/relay/attempt.c
@@ -77,15 +77,14 @@
 }
 
 /* Sends a piece of the request's body, or keeps it until the receiver has
-   accepted the request. */
+   accepted the request.  Once the connection is gone, what still arrives is
+   dropped: the attempt may wait for the check of an interrupted run. */
 void
 eel_attempt_body (struct eel_attempt *attempt, const void *data, size_t bytes)
 {
-  if (attempt->answer_done)
-    return;
-  if (attempt->accepted)
+  if (attempt->link != NULL && attempt->accepted)
     eel_link_write_body (attempt->link, attempt->framing, data, bytes);
-  else
+  else if (!attempt->accepted && !attempt->answer_done)
     eel_body_write (attempt->framing, attempt->pending, data, bytes);
 }
 
@@ -96,7 +95,7 @@
   if (attempt->body_done || attempt->answer_done)
     return;
   attempt->body_done = 1;
-  if (attempt->accepted)
+  if (attempt->link != NULL && attempt->accepted)
     eel_link_write_end (attempt->link, attempt->framing);
 }
 
--- a/src/relay/attempt.h
+++ b/src/relay/attempt.h
@@ -100,6 +100,9 @@
   struct eel_instance *instance;
   const struct eel_attempt_ops *ops;
   void *owner;
+  /* NULL until the request is sent, and again once the answer or the connection
+     has ended.  A run that the endpoint interrupted stays accepted and running
+     without a link until the result of a check is known. */
   struct eel_link *link;
   /* Body that arrived before the receiver accepted the request. */
   struct evbuffer *pending;
