--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -23,8 +23,9 @@
   free (conn);
 }
 
-/* Frees all exchanges; reports those without a complete answer as disconnected,
-   which may answer others of this connection: the list is detached first. */
+/* Releases all exchanges; reports those without a complete answer as
+   disconnected, which may answer others of this connection: the list is
+   detached first. */
 static void
 release_exchanges (struct eel_conn *conn)
 {
@@ -41,7 +42,7 @@
       if (exchange->state != NULL)
         conn->server->ops->disconnected (exchange);
       next = exchange->next;
-      eel_exchange_free (exchange);
+      eel_exchange_release (exchange);
       exchange = next;
     }
 }
--- a/src/relay/conn.h
+++ b/src/relay/conn.h
@@ -56,5 +56,9 @@
 struct eel_exchange *eel_exchange_new (struct eel_conn *conn,
                                        struct eel_head *head);
 void eel_exchange_free (struct eel_exchange *exchange);
+/* The same, but the memory stays until the server's next sweep: the exchange
+   may be at work on the stack. */
+void eel_exchange_release (struct eel_exchange *exchange);
+void eel_exchange_free_released (struct eel_server *server);
 
 #endif
--- a/src/relay/entry.c
+++ b/src/relay/entry.c
@@ -20,10 +20,13 @@
 /* For requests whose route's settings are not known. */
 #define DEFAULT_RETRY_AFTER_US (300 * EEL_US_PER_MS)
 
-/* Cancels a running attempt; the exchange stays open. */
+/* Cancels a running attempt; the exchange stays open.  The slot that this frees
+   may go to another request, whose answer may release the exchange: it has no
+   entry any more. */
 void
 eel_entry_free (struct eel_entry *entry)
 {
+  entry->exchange->state = NULL;
   eel_entry_leave_caps (entry);
   eel_attempt_free (entry->attempt);
   if (entry->deadline != NULL)
@@ -34,7 +37,6 @@
     evbuffer_free (entry->lines);
   if (entry->held != NULL)
     evbuffer_free (entry->held);
-  entry->exchange->state = NULL;
   free (entry);
 }
 
--- a/src/relay/exchange.c
+++ b/src/relay/exchange.c
@@ -36,14 +36,46 @@
   return exchange;
 }
 
+static void
+destroy (struct eel_exchange *exchange)
+{
+  eel_head_finish (&exchange->request);
+  evbuffer_free (exchange->out);
+  free (exchange);
+}
+
 /* The exchange must have been removed from its connection's list. */
 void
 eel_exchange_free (struct eel_exchange *exchange)
 {
   exchange->conn->server->exchange_count--;
-  eel_head_finish (&exchange->request);
-  evbuffer_free (exchange->out);
-  free (exchange);
+  destroy (exchange);
+}
+
+/* What is answered from here on is dropped. */
+void
+eel_exchange_release (struct eel_exchange *exchange)
+{
+  struct eel_server *server = exchange->conn->server;
+
+  server->exchange_count--;
+  exchange->state = NULL;
+  exchange->released = 1;
+  exchange->next = server->released;
+  server->released = exchange;
+}
+
+/* Call it when no event of a connection is being handled. */
+void
+eel_exchange_free_released (struct eel_server *server)
+{
+  while (server->released != NULL)
+    {
+      struct eel_exchange *exchange = server->released;
+
+      server->released = exchange->next;
+      destroy (exchange);
+    }
 }
 
 struct eel_server *
@@ -110,6 +142,9 @@
 eel_exchange_abort (struct eel_exchange *exchange)
 {
   exchange->state = NULL;
+  /* Its connection ends with the answer of another request. */
+  if (exchange->released)
+    return;
   eel_conn_close (exchange->conn);
 }
 
--- a/src/relay/executor.c
+++ b/src/relay/executor.c
@@ -43,10 +43,10 @@
 static void
 run_free (struct run *run)
 {
+  run->exchange->state = NULL;
   eel_attempt_free (run->attempt);
   if (run->deadline != NULL)
     event_free (run->deadline);
-  run->exchange->state = NULL;
   free (run);
 }
 
--- a/src/relay/server.c
+++ b/src/relay/server.c
@@ -120,6 +120,7 @@
 static void
 free_closed (struct eel_server *server)
 {
+  eel_exchange_free_released (server);
   while (server->closed != NULL)
     {
       struct eel_conn *conn = server->closed;
--- a/src/relay/server.h
+++ b/src/relay/server.h
@@ -48,6 +48,8 @@
   struct eel_conn *conns;
   /* Closed connections, freed once no callback uses them. */
   struct eel_conn *closed;
+  /* The same for exchanges that ended with their connection. */
+  struct eel_exchange *released;
   uint32_t conn_count;
   uint32_t max_conns;
   uint32_t exchange_count;
@@ -80,6 +82,8 @@
   uint8_t answer_started;
   uint8_t answer_done;
   uint8_t close_after;
+  /* Its connection goes on without it, or is closed. */
+  uint8_t released;
 };
 
 int eel_server_init (struct eel_server *server,
--- a/tests/unit/test_relay_stop.cc
+++ b/tests/unit/test_relay_stop.cc
@@ -266,3 +266,38 @@
   EXPECT_EQ (relay.callers.exchange_count, 0u);
   bufferevent_free (caller->bev);
 }
+
+// Guards against a request that is ended twice: its end frees a slot, for the
+// request before it on the connection, which is then refused with Connection:
+// close.
+TEST (RelayStop, RequestWhoseEndClosesItsConnectionIsFreedOnce)
+{
+  stopping_node node;
+  struct eel_relay &relay = node.cluster.nodes[0]->relay;
+  raw_upstream &upstream = node.cluster.nodes[0]->upstream;
+  auto other = node.cluster.connect ();
+  auto caller = node.cluster.connect ();
+
+  upstream.answer = [] (raw_upstream &, raw_conn &, const std::string &) {};
+  eel_gate_set_slots (&relay.gate, 1);
+  raw_upstream::write (*other, request_text ("GET", "/safe/a", "held"));
+  ASSERT_TRUE (
+      node.cluster.run_until ([&] { return relay.gate.running == 1; }));
+  raw_upstream::write (*caller, request_text ("GET", "/safe/a", "waits"));
+  ASSERT_TRUE (node.cluster.run_until ([&] { return relay.gate.queued == 1; }));
+  // Of a higher rank than the one before it.
+  raw_upstream::write (*caller, "GET /once/a HTTP/1.1\r\nHost: shop.example\r\n"
+                                "Req-Id: runs\r\nLeft-Ms: 300\r\n\r\n");
+  ASSERT_TRUE (node.cluster.run_until ([&] { return relay.gate.queued == 2; }));
+  bufferevent_free (other->bev);
+  ASSERT_TRUE (
+      node.cluster.run_until ([&] { return upstream.requests.size () == 2; }));
+  // A request that starts from now on is refused.
+  strcpy (relay.actual_instance, "other");
+  relay.actual_until_us = eel_clock_us () + 10 * EEL_US_PER_S;
+  eel_relay_stop (&relay);
+  EXPECT_TRUE (node.cluster.run_until ([&] { return caller->closed; }));
+  EXPECT_EQ (status_of (caller->in), "503");
+  EXPECT_EQ (relay.callers.exchange_count, 0u);
+  bufferevent_free (caller->bev);
+}
