Read on when a request ends in the input before its pause

Cause: reading pauses when too much of a body waits to be sent, but what has been read already is parsed to its end. If the request ends in it, it is no longer the one being read, and only that one could resume reading.

Change: the end of a request resumes reading: nothing more of its body comes.

--- a/src/relay/conn.c
+++ b/src/relay/conn.c
@@ -247,6 +247,9 @@
   struct eel_exchange *exchange = conn->reading;
 
   eel_reader_next (&conn->reader);
+  /* Reading may have been paused for it, with its end already read. */
+  if (exchange != NULL)
+    eel_exchange_pause (exchange, 0);
   conn->reading = NULL;
   if (exchange == NULL)
     return;
--- a/tests/unit/test_relay_pause.cc
+++ b/tests/unit/test_relay_pause.cc
@@ -139,3 +139,54 @@
   EXPECT_EQ (cluster.nodes[0]->relay.callers.conn_count, 0u);
   bufferevent_free (caller->bev);
 }
+
+// Guards against a connection that is never read again when its request ends in
+// the input that was read before the pause (review/8).
+TEST (RelayPause, RequestBehindOneThatEndsInThePauseIsAnswered)
+{
+  // Reading pauses with the last byte of the body.
+  const std::string body (262145, 'b');
+
+  for (size_t node : { 0, 1 })
+    {
+      relay_cluster cluster (2);
+      raw_upstream &upstream = cluster.nodes[1]->upstream;
+      struct eel_relay &relay = cluster.nodes[1]->relay;
+      raw_conn *held = nullptr;
+      auto order = cluster.connect (1);
+      auto caller = cluster.connect (node);
+
+      SCOPED_TRACE (node);
+      cluster.list_upstream (1, 1);
+      cluster.set_routes (3000);
+      upstream.answer
+          = [&] (raw_upstream &, raw_conn &conn, const std::string &request) {
+              if (held == nullptr)
+                held = &conn;
+              else
+                raw_upstream::write (conn, answer_text (request, "ok"));
+            };
+      raw_upstream::write (*order, request_text ("POST", "/once/held", "h1"));
+      ASSERT_TRUE (cluster.run_until ([&] { return held != nullptr; }));
+      raw_upstream::write (*caller,
+                           request_text ("POST", "/once/x", "r1", "", body));
+      ASSERT_TRUE (cluster.run_until ([&] { return relay.gate.queued == 1; }));
+      cluster.run_ms (100);
+      raw_upstream::write (*held, answer_text (upstream.requests[0], "ran"));
+      EXPECT_TRUE (cluster.run_until (
+          [&] { return body_of (caller->in) == "ok"; }, 2000));
+      caller->in.clear ();
+      raw_upstream::write (*caller, request_text ("POST", "/once/y", "r2"));
+      EXPECT_TRUE (cluster.run_until (
+          [&] { return body_of (caller->in) == "ok"; }, 2000));
+      // The end of the connection is seen, too.
+      bufferevent_free (caller->bev);
+      bufferevent_free (order->bev);
+      EXPECT_TRUE (cluster.run_until (
+          [&] {
+            return cluster.nodes[0]->relay.callers.conn_count == 0
+                   && relay.callers.conn_count == 0;
+          },
+          2000));
+    }
+}
