Copy the store's history with its items in the stand-in

A copy that was taken before /compact came back with the history gone up to a revision of the life before, so that each watch got 410 until the counter had passed it. The copy now holds from where its own history goes.

--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -41,6 +41,7 @@
   struct item items[ITEMS_MAX];
   int count;
   uint64_t revision;
+  uint64_t history_from;
 };
 
 static struct
@@ -275,6 +276,7 @@
   copy_items (store.items, store.copy.items, store.copy.count);
   store.count = store.copy.count;
   store.revision = store.copy.revision;
+  store.history_from = store.copy.history_from;
   store.era++;
 }
 
@@ -299,6 +301,7 @@
   copy_items (store.copy.items, store.items, store.count);
   store.copy.count = store.count;
   store.copy.revision = store.revision;
+  store.copy.history_from = store.history_from;
   reply (request, 200, "ok\n");
 }
 
