--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -41,7 +41,7 @@
 caller()
 {
 	n=0
-	while [ ! -e "$FLEET_DIR/end" ]; do
+	while [ -d "$FLEET_DIR" ] && [ ! -e "$FLEET_DIR/end" ]; do
 		n=$((n + 1))
 		id=c$1-$n
 		target=/safe/x
